Whole path as separate processes

Cause: nothing existed. Change: package layout by life span, the state machines of a query and of a non-idempotent request, the HTTP client towards targets, a control path that watches the platform's head object, stand-ins for platform and targets, a demo and a process rig. Before: no path.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Entry points for developers. Each target sets up the virtual environment first.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup demo test lint types unit binary clean
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --editable .
+	touch $@
+
+demo: setup
+	$(BIN)/jackdawpass demo
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+types: setup
+	$(BIN)/mypy
+
+unit: setup
+	$(BIN)/pytest -n 4
+
+test: lint types unit
+
+clean:
+	rm -rf $(VENV) build dist
--- /dev/null
+++ b/jackdawpass/__init__.py
@@ -0,0 +1,3 @@
+"""Query tier over many shards."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/jackdawpass/__main__.py
@@ -0,0 +1,8 @@
+"""Run the command line with ``python -m jackdawpass``."""
+
+import sys
+
+from jackdawpass import cli
+
+if __name__ == "__main__":
+    sys.exit(cli.main())
--- /dev/null
+++ b/jackdawpass/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments that compare the policy with a naive baseline."""
--- /dev/null
+++ b/jackdawpass/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module per command of the command line."""
--- /dev/null
+++ b/jackdawpass/connection/dialect.py
@@ -0,0 +1,171 @@
+"""The dialect spoken to targets: its Protocol type and the JSON dialect."""
+
+import collections.abc
+import dataclasses
+import typing
+
+import msgspec
+from returns import result
+
+from jackdawpass.request import model
+
+RUN_PATH = "/v1/run"
+CANCEL_PATH = "/v1/cancel"
+HEALTH_PATH = "/v1/health"
+LOAD_PATH = "/v1/load"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpReply:
+    """A complete HTTP reply."""
+
+    status: int
+    body: bytes
+
+
+RunResult = result.Result[model.SubReply, model.AttemptFailure]
+
+
+class TargetDialect(typing.Protocol):
+    """Encodes sub-requests to a target and decodes its replies."""
+
+    def encode_query(self, query: object) -> bytes:
+        """Encode the part shared by all sub-requests of a query, once."""
+
+    def encode_run(
+        self, attempt: model.Attempt, remaining: float, query: bytes
+    ) -> bytes:
+        """Encode the HTTP request of an attempt; `remaining` is in seconds."""
+
+    def encode_cancel(self, attempt: model.Attempt) -> bytes:
+        """Encode the HTTP request that cancels an attempt."""
+
+    def decode_run(self, attempt: model.Attempt, reply: HttpReply) -> RunResult:
+        """Decode the reply to an attempt."""
+
+
+class _WireResult(msgspec.Struct):
+    id: str
+    score: float
+    value: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _WireReply(msgspec.Struct):
+    request_id: str
+    attempt_id: int
+    snapshot: str
+    shards: dict[int, list[_WireResult]]
+
+
+class _WireRefusal(msgspec.Struct):
+    request_id: str
+    attempt_id: int
+    kind: str
+    ran: bool = True
+    held: list[str] = []
+    retry_after_ms: float = 0.0
+
+
+_REFUSAL_KINDS = {
+    "shed": model.FailureKind.SHED,
+    "draining": model.FailureKind.DRAINING,
+    "cold": model.FailureKind.COLD,
+    "snapshot_not_held": model.FailureKind.SNAPSHOT_NOT_HELD,
+    "shard_moved": model.FailureKind.SHARD_MOVED,
+    "failed": model.FailureKind.TARGET_FAILED,
+}
+
+_MISMATCH = model.AttemptFailure(
+    model.FailureKind.MISMATCHED_REPLY, model.Execution.MAY_HAVE_RUN
+)
+
+
+class JsonDialect:
+    """JSON over HTTP/1.1, one message per target for all its shards in a query."""
+
+    def __init__(self) -> None:
+        self._encoder = msgspec.json.Encoder()
+        self._reply_decoder = msgspec.json.Decoder(_WireReply)
+        self._refusal_decoder = msgspec.json.Decoder(_WireRefusal)
+
+    def encode_query(self, query: object) -> bytes:
+        """Encode the query value once for all sub-requests."""
+        return self._encoder.encode(query)
+
+    def encode_run(
+        self, attempt: model.Attempt, remaining: float, query: bytes
+    ) -> bytes:
+        """Encode the HTTP request of an attempt; `remaining` is in seconds."""
+        head = self._encoder.encode(
+            {
+                "request_id": attempt.request_id,
+                "attempt_id": attempt.attempt_id,
+                "service": attempt.service,
+                "snapshot": attempt.snapshot,
+                "shards": sorted(attempt.shards),
+                "deadline_ms": max(1, round(remaining * 1000)),
+                "limit": attempt.limit,
+                "idempotent": attempt.idempotent,
+            }
+        )
+        return _post(RUN_PATH, head[:-1] + b',"query":' + query + b"}")
+
+    def encode_cancel(self, attempt: model.Attempt) -> bytes:
+        """Encode the HTTP request that cancels an attempt."""
+        body = {"request_id": attempt.request_id, "attempt_id": attempt.attempt_id}
+        return _post(CANCEL_PATH, self._encoder.encode(body))
+
+    def decode_run(self, attempt: model.Attempt, reply: HttpReply) -> RunResult:
+        """Decode the reply to an attempt and check that it belongs to it."""
+        if reply.status == 200:
+            return self._decode_reply(attempt, reply.body)
+        return result.Failure(self._decode_refusal(attempt, reply.body))
+
+    def _decode_reply(self, attempt: model.Attempt, body: bytes) -> RunResult:
+        try:
+            wire = self._reply_decoder.decode(body)
+        except msgspec.DecodeError:
+            return result.Failure(_MISMATCH)
+        if not _belongs(attempt, wire.request_id, wire.attempt_id):
+            return result.Failure(_MISMATCH)
+        shards = {shard: _items(items) for shard, items in wire.shards.items()}
+        return result.Success(
+            model.SubReply(wire.request_id, wire.attempt_id, wire.snapshot, shards)
+        )
+
+    def _decode_refusal(
+        self, attempt: model.Attempt, body: bytes
+    ) -> model.AttemptFailure:
+        try:
+            wire = self._refusal_decoder.decode(body)
+        except msgspec.DecodeError:
+            return _MISMATCH
+        if not _belongs(attempt, wire.request_id, wire.attempt_id):
+            return _MISMATCH
+        kind = _REFUSAL_KINDS.get(wire.kind, model.FailureKind.TARGET_FAILED)
+        execution = (
+            model.Execution.MAY_HAVE_RUN
+            if wire.ran
+            else model.Execution.REFUSED_NOT_RUN
+        )
+        return model.AttemptFailure(
+            kind, execution, tuple(wire.held), wire.retry_after_ms / 1000
+        )
+
+
+def _belongs(attempt: model.Attempt, request_id: str, attempt_id: int) -> bool:
+    return request_id == attempt.request_id and attempt_id == attempt.attempt_id
+
+
+def _items(
+    items: collections.abc.Iterable[_WireResult],
+) -> tuple[model.ResultItem, ...]:
+    return tuple(model.ResultItem(item.id, item.score, item.value) for item in items)
+
+
+def _post(path: str, body: bytes) -> bytes:
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: target\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode("ascii") + body
--- /dev/null
+++ b/jackdawpass/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for the whole process."""
--- /dev/null
+++ b/jackdawpass/process/dispatcher.py
@@ -0,0 +1,62 @@
+"""Channels of this instance to all targets of the current catalog."""
+
+import typing
+
+from jackdawpass.connection import dialect
+from jackdawpass.process import channel
+from jackdawpass.request import model, runner
+from jackdawpass.version import catalog
+
+_Address = tuple[str, int]
+
+
+class Dispatcher:
+    """Hands attempts to the channel of their target.
+
+    Channels outlive configuration versions: one is kept as long as any service of the
+    current catalog names its address, so that a change closes no connection in use.
+    """
+
+    def __init__(self, reactor: typing.Any, wire: dialect.TargetDialect) -> None:
+        self._reactor = reactor
+        self._wire = wire
+        self._channels: dict[str, channel.Channel] = {}
+        self._addresses: dict[str, _Address] = {}
+
+    def apply(self, current: catalog.Catalog) -> None:
+        """Open channels for new targets and close those of removed ones."""
+        wanted = {
+            name: target
+            for service in current.services.values()
+            for name, target in service.targets.items()
+        }
+        for name in list(self._channels):
+            target = wanted.get(name)
+            if target is None or self._addresses[name] != _address(target):
+                self._channels.pop(name).close()
+        for name, target in wanted.items():
+            if name not in self._channels:
+                self._open(name, target, current.instances_max)
+
+    def submit(
+        self, attempt: model.Attempt, query: bytes, listener: runner.Listener
+    ) -> runner.Ticket:
+        """Queue an attempt for its target."""
+        return self._channels[attempt.target].submit(attempt, query, listener)
+
+    def close(self) -> None:
+        """Close all channels as their connections become idle."""
+        for each in self._channels.values():
+            each.close()
+
+    def _open(self, name: str, target: catalog.Target, instances_max: int) -> None:
+        settings = target.settings
+        share = max(1, settings.connections // instances_max)
+        self._addresses[name] = _address(target)
+        self._channels[name] = channel.Channel(
+            self._reactor, self._wire, settings.host, settings.port, share
+        )
+
+
+def _address(target: catalog.Target) -> _Address:
+    return (target.settings.host, target.settings.port)
--- /dev/null
+++ b/jackdawpass/process/entry.py
@@ -0,0 +1,187 @@
+"""One entry instance: wires the parts that live for the process."""
+
+import typing
+
+from twisted.internet import defer
+
+from jackdawpass import clock
+from jackdawpass.connection import dialect, platform_api
+from jackdawpass.process import budget as budgets
+from jackdawpass.process import (
+    control,
+    dispatcher,
+    hedging,
+    http_api,
+    routing,
+    settings,
+)
+from jackdawpass.request import fanout, machine, model, problems, runner, single_run
+from jackdawpass.version import catalog
+
+
+class Entry:
+    """One entry instance.
+
+    Parameters
+    ----------
+    reactor : reactor
+        The process's reactor.
+    options : EntrySettings
+        Settings of the instance.
+    """
+
+    def __init__(self, reactor: typing.Any, options: settings.EntrySettings) -> None:
+        self._reactor = reactor
+        self._options = options
+        self._wire = dialect.JsonDialect()
+        self._platform = platform_api.HttpPlatform(reactor, options.platform_url)
+        self._control = control.Control(
+            reactor, self._platform, options.site, self._on_catalog
+        )
+        self._dispatcher = dispatcher.Dispatcher(reactor, self._wire)
+        self._catalog: catalog.Catalog | None = None
+        self._budgets: dict[str, budgets.TokenBudget] = {}
+        self._port: typing.Any = None
+        self._draining = False
+
+    @property
+    def ready(self) -> bool:
+        """True when the instance can serve new requests."""
+        return self._catalog is not None and not self._draining
+
+    @property
+    def port(self) -> int:
+        """Port on which callers are served."""
+        return int(self._port.getHost().port)
+
+    def start(self) -> None:
+        """Listen for callers and begin to fetch the configuration."""
+        site = http_api.make_site(self, self._options.max_body_bytes)
+        self._port = self._reactor.listenTCP(
+            self._options.port, site, interface=self._options.host
+        )
+        self._control.start()
+
+    @defer.inlineCallbacks
+    def stop(self) -> typing.Generator[defer.Deferred[typing.Any], typing.Any, None]:
+        """Stop listening and close all connections."""
+        self._draining = True
+        self._control.stop()
+        yield self._port.stopListening()
+        self._dispatcher.close()
+        yield self._platform.close()
+
+    def run(
+        self,
+        request_id: str,
+        service: str,
+        query: model.QueryRequest,
+        idempotency_key: str | None,
+        on_finish: runner.OnFinish,
+    ) -> http_api.RunningQuery:
+        """Run a query; `on_finish` is called once, possibly before returning."""
+        now = clock.monotonic()
+        states = self._make_states(now, request_id, service, query)
+        if isinstance(states, problems.Problem):
+            on_finish(states)
+            return _Refused()
+        encoded = self._wire.encode_query(query.query)
+        running = runner.Runner(
+            self._reactor, states, self._dispatcher, encoded, on_finish
+        )
+        running.start()
+        return running
+
+    def published_after(
+        self, service: str, snapshot: str
+    ) -> machine.PinnedSnapshot | None:
+        """Return a service's published snapshot if it is another one."""
+        if self._catalog is None:
+            return None
+        declared = self._catalog.services.get(service)
+        if declared is None or declared.shard_map is None:
+            return None
+        if declared.shard_map.snapshot == snapshot:
+            return None
+        router = routing.ServiceRouter(declared, declared.shard_map, self._options.zone)
+        shards = declared.shard_map.shards
+        return machine.PinnedSnapshot(declared.shard_map.snapshot, shards, router)
+
+    def _on_catalog(self, current: catalog.Catalog) -> None:
+        self._catalog = current
+        self._dispatcher.apply(current)
+
+    def _make_states(
+        self, now: float, request_id: str, name: str, query: model.QueryRequest
+    ) -> machine.Machine | problems.Problem:
+        if self._catalog is None:
+            return problems.not_run(
+                problems.ProblemKind.NO_CONFIGURATION,
+                "this instance has no configuration yet; retry on another instance",
+                1.0,
+            )
+        service = self._catalog.services.get(name)
+        if service is None:
+            return problems.not_run(
+                problems.ProblemKind.UNKNOWN_SERVICE,
+                f"service {name!r} is not declared; check the name or declare it",
+            )
+        shard_map = service.shard_map
+        if shard_map is None:
+            return problems.not_run(
+                problems.ProblemKind.NO_SNAPSHOT,
+                f"service {name!r} has no published snapshot; publish one",
+                1.0,
+            )
+        plan = _make_plan(now, request_id, service, shard_map, query)
+        router = routing.ServiceRouter(service, shard_map, self._options.zone)
+        budget = self._budgets.setdefault(
+            name, budgets.TokenBudget(service.policy.extra_share)
+        )
+        if not query.idempotent:
+            return single_run.SingleRun(plan, router, budget)
+        source = _Source(self, name)
+        return fanout.Fanout(plan, router, hedging.NoHedging(), budget, source)
+
+
+class _Source:
+    def __init__(self, entry: Entry, service: str) -> None:
+        self._entry = entry
+        self._service = service
+
+    def published_after(self, snapshot: str) -> machine.PinnedSnapshot | None:
+        return self._entry.published_after(self._service, snapshot)
+
+
+class _Refused:
+    def caller_gone(self) -> None:
+        """Do nothing: a refused query has no work under way."""
+
+
+def _make_plan(
+    now: float,
+    request_id: str,
+    service: catalog.Service,
+    shard_map: catalog.ShardMap,
+    query: model.QueryRequest,
+) -> model.QueryPlan:
+    policy = service.policy
+    shards = shard_map.shards
+    if query.shard_key is not None:
+        shards = frozenset((single_run.shard_of(query.shard_key, len(shards)),))
+    timeout = policy.timeout_ms / 1000 if query.timeout is None else query.timeout
+    min_coverage = (
+        policy.min_coverage if query.min_coverage is None else query.min_coverage
+    )
+    early = policy.favour == "latency"
+    return model.QueryPlan(
+        request_id=request_id,
+        service=service.name,
+        snapshot=shard_map.snapshot,
+        shards=shards,
+        deadline=now + timeout,
+        limit=policy.limit if query.limit is None else query.limit,
+        min_coverage=min_coverage,
+        early_after=now + policy.early_after_ms / 1000 if early else None,
+        early_coverage=policy.early_coverage,
+    )
--- /dev/null
+++ b/jackdawpass/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one request of a caller."""
--- /dev/null
+++ b/jackdawpass/request/fanout.py
@@ -0,0 +1,375 @@
+"""State machine of one idempotent query over many shards."""
+
+import dataclasses
+
+from jackdawpass.request import machine, merge, model, problems
+
+_SNAPSHOT_FAILURES = frozenset(
+    (model.FailureKind.SNAPSHOT_NOT_HELD, model.FailureKind.SHARD_MOVED)
+)
+_REFUSALS = frozenset(
+    (
+        model.FailureKind.QUEUE_FULL,
+        model.FailureKind.SHED,
+        model.FailureKind.DRAINING,
+        model.FailureKind.COLD,
+    )
+)
+_WRONG_SNAPSHOT = model.AttemptFailure(
+    model.FailureKind.SNAPSHOT_NOT_HELD, model.Execution.MAY_HAVE_RUN
+)
+RETRY_AFTER_SECONDS = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Outstanding:
+    attempt: model.Attempt
+    hedge_at: float | None = None
+
+
+class Fanout:
+    """Sends sub-requests, hedges and retries them, and merges their replies.
+
+    Parameters
+    ----------
+    plan : QueryPlan
+        What to ask, on which pinned snapshot, until when.
+    router : Router
+        Chooses targets for the shards of the pinned snapshot.
+    hedging : Hedging
+        Says when to hedge.
+    budget : Budget
+        Bounds hedges and retries.
+    source : SnapshotSource
+        Gives the snapshot to start over on when the pinned one is gone.
+    """
+
+    def __init__(
+        self,
+        plan: model.QueryPlan,
+        router: machine.Router,
+        hedging: machine.Hedging,
+        budget: machine.Budget,
+        source: machine.SnapshotSource,
+    ) -> None:
+        self._plan = plan
+        self._router = router
+        self._hedging = hedging
+        self._budget = budget
+        self._source = source
+        self._merge = merge.Merge(plan.shards)
+        self._outstanding: dict[int, _Outstanding] = {}
+        self._excluded: dict[int, set[str]] = {}
+        self._reasons: dict[int, model.MissingReason] = {}
+        self._snapshot_lost: set[int] = set()
+        self._last_failure: model.AttemptFailure | None = None
+        # Attempts that a target may have run; empty means that nothing ran.
+        self._may_have_run: set[int] = set()
+        self._next_attempt_id = 1
+        self._restarted = False
+        self._finished = False
+        self._wake_at: float | None = None
+        self._early_at = plan.early_after
+
+    @property
+    def finished(self) -> bool:
+        """True once `Finish` was returned or the caller is gone."""
+        return self._finished
+
+    @property
+    def snapshot(self) -> str:
+        """The pinned snapshot."""
+        return self._plan.snapshot
+
+    def start(self, now: float) -> machine.Actions:
+        """Send the first attempts."""
+        assignments = self._assign_all(now)
+        self._budget.on_first_attempts(now, len(assignments))
+        actions = self._send(assignments, model.AttemptKind.FIRST)
+        return self._conclude(now, actions)
+
+    def on_sent(self, now: float, attempt_id: int) -> machine.Actions:
+        """Note that bytes of an attempt may have been read; schedule its hedge."""
+        self._may_have_run.add(attempt_id)
+        entry = self._outstanding.get(attempt_id)
+        if entry is None or self._finished:
+            return ()
+        delay = self._hedging.delay(now, entry.attempt.target)
+        if delay is not None and entry.attempt.kind is not model.AttemptKind.HEDGE:
+            entry.hedge_at = now + delay
+        return self._wake()
+
+    def on_reply(
+        self, now: float, attempt_id: int, reply: model.SubReply
+    ) -> machine.Actions:
+        """Take a reply; replies to attempts no longer outstanding are ignored."""
+        if self._finished or attempt_id not in self._outstanding:
+            return ()
+        if reply.snapshot != self._plan.snapshot:
+            return self.on_failure(now, attempt_id, _WRONG_SNAPSHOT)
+        attempt = self._outstanding.pop(attempt_id).attempt
+        for shard in attempt.shards:
+            if shard in reply.shards:
+                self._merge.add(shard, reply.shards[shard])
+        actions = self._cancel_superseded()
+        omitted = attempt.shards - reply.shards.keys()
+        if omitted:
+            failure = model.AttemptFailure(
+                model.FailureKind.TARGET_FAILED, model.Execution.MAY_HAVE_RUN
+            )
+            actions += self._recover(now, attempt.target, omitted, failure)
+        return self._conclude(now, actions)
+
+    def on_failure(
+        self, now: float, attempt_id: int, failure: model.AttemptFailure
+    ) -> machine.Actions:
+        """Retry the shards of a failed attempt elsewhere within the budget."""
+        if failure.execution is not model.Execution.MAY_HAVE_RUN:
+            self._may_have_run.discard(attempt_id)
+        if self._finished or attempt_id not in self._outstanding:
+            return ()
+        attempt = self._outstanding.pop(attempt_id).attempt
+        actions = self._recover(now, attempt.target, attempt.shards, failure)
+        return self._conclude(now, actions)
+
+    def on_timer(self, now: float) -> machine.Actions:
+        """Send due hedges; end the query at its deadline."""
+        if self._finished:
+            return ()
+        self._wake_at = None
+        if self._early_at is not None and now >= self._early_at:
+            # From here on each reply is checked against the early coverage.
+            self._early_at = None
+        if now >= self._plan.deadline:
+            return self._finish()
+        return self._conclude(now, self._send_hedges(now))
+
+    def on_caller_gone(self, now: float) -> machine.Actions:
+        """Cancel all attempts."""
+        if self._finished:
+            return ()
+        self._finished = True
+        return self._cancel_all()
+
+    def _assign_all(self, now: float) -> tuple[machine.Assignment, ...]:
+        assignments = self._router.assign(now, self._plan.shards, {})
+        assigned = frozenset[int]().union(*(entry.shards for entry in assignments))
+        for shard in self._plan.shards - assigned:
+            self._reasons[shard] = model.MissingReason.NO_REPLICA
+        return assignments
+
+    def _send(
+        self, assignments: tuple[machine.Assignment, ...], kind: model.AttemptKind
+    ) -> machine.Actions:
+        return tuple(
+            machine.Send(self._new_attempt(assignment, kind))
+            for assignment in assignments
+        )
+
+    def _new_attempt(
+        self, assignment: machine.Assignment, kind: model.AttemptKind
+    ) -> model.Attempt:
+        attempt = model.Attempt(
+            attempt_id=self._next_attempt_id,
+            request_id=self._plan.request_id,
+            service=self._plan.service,
+            target=assignment.target,
+            shards=assignment.shards,
+            snapshot=self._plan.snapshot,
+            deadline=self._plan.deadline,
+            limit=self._plan.limit,
+            kind=kind,
+        )
+        self._next_attempt_id += 1
+        self._outstanding[attempt.attempt_id] = _Outstanding(attempt)
+        for shard in assignment.shards:
+            self._excluded.setdefault(shard, set()).add(assignment.target)
+        return attempt
+
+    def _recover(
+        self,
+        now: float,
+        target: str,
+        shards: frozenset[int],
+        failure: model.AttemptFailure,
+    ) -> machine.Actions:
+        self._last_failure = failure
+        orphans = (shards & self._merge.uncovered) - self._carried()
+        for shard in shards & self._merge.uncovered:
+            self._reasons[shard] = _reason(failure)
+            if failure.kind in _SNAPSHOT_FAILURES:
+                self._snapshot_lost.add(shard)
+        assignments = self._router.assign(now, orphans, self._excluded)
+        retried = frozenset[int]().union(*(entry.shards for entry in assignments))
+        if (orphans - retried) & self._snapshot_lost:
+            restart = self._restart(now)
+            if restart:
+                return restart
+        affordable = tuple(
+            entry for entry in assignments if self._budget.try_spend(now)
+        )
+        return self._send(affordable, model.AttemptKind.RETRY)
+
+    def _restart(self, now: float) -> machine.Actions:
+        """Start over on the newly published snapshot, at most once."""
+        if self._restarted or now >= self._plan.deadline:
+            return ()
+        pinned = self._source.published_after(self._plan.snapshot)
+        if pinned is None:
+            return ()
+        self._restarted = True
+        actions = self._cancel_all()
+        self._plan = dataclasses.replace(
+            self._plan, snapshot=pinned.snapshot, shards=pinned.shards
+        )
+        self._router = pinned.router
+        self._merge = merge.Merge(pinned.shards)
+        self._excluded.clear()
+        self._reasons.clear()
+        self._snapshot_lost.clear()
+        assignments = self._assign_all(now)
+        return actions + self._send(assignments, model.AttemptKind.RESTART)
+
+    def _send_hedges(self, now: float) -> machine.Actions:
+        actions: machine.Actions = ()
+        due = [
+            entry
+            for entry in self._outstanding.values()
+            if entry.hedge_at is not None and entry.hedge_at <= now
+        ]
+        for entry in due:
+            entry.hedge_at = None
+            shards = entry.attempt.shards & self._merge.uncovered
+            for assignment in self._router.assign(now, shards, self._excluded):
+                if self._budget.try_spend(now):
+                    actions += self._send((assignment,), model.AttemptKind.HEDGE)
+        return actions
+
+    def _carried(self) -> frozenset[int]:
+        """Return the shards that an outstanding attempt may still cover."""
+        return frozenset[int]().union(
+            *(entry.attempt.shards for entry in self._outstanding.values())
+        )
+
+    def _cancel_superseded(self) -> machine.Actions:
+        uncovered = self._merge.uncovered
+        superseded = [
+            attempt_id
+            for attempt_id, entry in self._outstanding.items()
+            if not entry.attempt.shards & uncovered
+        ]
+        for attempt_id in superseded:
+            del self._outstanding[attempt_id]
+        return tuple(machine.Cancel(attempt_id) for attempt_id in superseded)
+
+    def _cancel_all(self) -> machine.Actions:
+        cancels = tuple(machine.Cancel(attempt_id) for attempt_id in self._outstanding)
+        self._outstanding.clear()
+        return cancels
+
+    def _conclude(self, now: float, actions: machine.Actions) -> machine.Actions:
+        """Finish when nothing is left to wait for; otherwise set the timer."""
+        if self._is_over(now):
+            # What was about to be sent is not worth starting any more.
+            sends = {
+                a.attempt.attempt_id for a in actions if isinstance(a, machine.Send)
+            }
+            for attempt_id in sends:
+                self._outstanding.pop(attempt_id, None)
+            kept = tuple(a for a in actions if not isinstance(a, machine.Send))
+            return kept + self._finish()
+        return actions + self._wake()
+
+    def _is_over(self, now: float) -> bool:
+        if not self._outstanding or not self._merge.uncovered:
+            return True
+        reachable = self._merge.uncovered & self._carried()
+        total = len(self._plan.shards)
+        best = (total - len(self._merge.uncovered) + len(reachable)) / total
+        if best < self._plan.min_coverage:
+            return True
+        early_after = self._plan.early_after
+        enough = max(self._plan.early_coverage, self._plan.min_coverage)
+        return (
+            early_after is not None
+            and now >= early_after
+            and self._merge.ratio >= enough
+        )
+
+    def _wake(self) -> machine.Actions:
+        times = [entry.hedge_at for entry in self._outstanding.values()]
+        times += [self._plan.deadline, self._early_at]
+        at = min(time for time in times if time is not None)
+        if at == self._wake_at:
+            return ()
+        self._wake_at = at
+        return (machine.WakeAt(at),)
+
+    def _finish(self) -> machine.Actions:
+        self._finished = True
+        for entry in self._outstanding.values():
+            for shard in entry.attempt.shards:
+                self._reasons[shard] = model.MissingReason.TIMED_OUT
+        return (*self._cancel_all(), machine.Finish(self._outcome()))
+
+    def _outcome(self) -> model.Answer | problems.Problem:
+        coverage = self._merge.coverage(self._reasons)
+        if coverage.covered and coverage.ratio >= self._plan.min_coverage:
+            return model.Answer(
+                self._plan.request_id,
+                self._plan.service,
+                self._plan.snapshot,
+                coverage,
+                self._merge.top(self._plan.limit),
+            )
+        if not self._may_have_run:
+            return self._not_run()
+        detail = (
+            f"{coverage.covered} of {coverage.shards} shards answered in time; "
+            "allow a longer timeout_ms, accept a lower min_coverage, or retry"
+        )
+        return problems.Problem(
+            problems.ProblemKind.COVERAGE_TOO_LOW,
+            model.Outcome.INCOMPLETE,
+            detail,
+            RETRY_AFTER_SECONDS,
+            coverage,
+        )
+
+    def _not_run(self) -> problems.Problem:
+        failure = self._last_failure
+        if failure is None and self._next_attempt_id == 1:
+            return problems.not_run(
+                problems.ProblemKind.NO_TARGET,
+                "no target holds a shard of the published snapshot; check that the "
+                "service's targets are up and hold it",
+                RETRY_AFTER_SECONDS,
+            )
+        if failure is None or failure.kind is model.FailureKind.QUEUE_EXPIRED:
+            return problems.not_run(
+                problems.ProblemKind.DEADLINE_EXCEEDED,
+                "the deadline passed before a target was free; "
+                "allow a longer timeout_ms or retry later",
+                RETRY_AFTER_SECONDS,
+            )
+        if failure.kind in _REFUSALS:
+            return problems.not_run(
+                problems.ProblemKind.OVERLOADED,
+                "the service's targets accept no more work; retry later",
+                max(failure.retry_after, RETRY_AFTER_SECONDS),
+            )
+        return problems.not_run(
+            problems.ProblemKind.NO_TARGET,
+            "no target of the service could be reached; check that they are up",
+            RETRY_AFTER_SECONDS,
+        )
+
+
+def _reason(failure: model.AttemptFailure) -> model.MissingReason:
+    if failure.kind in _SNAPSHOT_FAILURES:
+        return model.MissingReason.SNAPSHOT_GONE
+    if failure.kind in _REFUSALS:
+        return model.MissingReason.REFUSED
+    if failure.kind in (model.FailureKind.TIMED_OUT, model.FailureKind.QUEUE_EXPIRED):
+        return model.MissingReason.TIMED_OUT
+    return model.MissingReason.FAILED
--- /dev/null
+++ b/jackdawpass/request/machine.py
@@ -0,0 +1,131 @@
+"""Actions and events shared by the state machines of a request."""
+
+import collections.abc
+import dataclasses
+import typing
+
+from jackdawpass.request import model, problems
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """Send a sub-request; it may wait in the target's queue first."""
+
+    attempt: model.Attempt
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancel:
+    """Cancel an attempt: withdraw it from the queue, or abort its exchange."""
+
+    attempt_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WakeAt:
+    """Call `on_timer` at this monotonic time; replaces the previous one."""
+
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finish:
+    """End the request with its outcome."""
+
+    outcome: model.Answer | problems.Problem
+
+
+Action = Send | Cancel | WakeAt | Finish
+Actions = tuple[Action, ...]
+
+
+class Machine(typing.Protocol):
+    """State machine of one request; each method returns the actions to perform."""
+
+    def start(self, now: float) -> Actions:
+        """Begin the request."""
+
+    def on_sent(self, now: float, attempt_id: int) -> Actions:
+        """Note that bytes of an attempt may have been read by its target."""
+
+    def on_reply(self, now: float, attempt_id: int, reply: model.SubReply) -> Actions:
+        """Take the reply to an attempt."""
+
+    def on_failure(
+        self, now: float, attempt_id: int, failure: model.AttemptFailure
+    ) -> Actions:
+        """Take the failure of an attempt."""
+
+    def on_timer(self, now: float) -> Actions:
+        """Take a timer set by `WakeAt`; early and repeated calls do no harm."""
+
+    def on_caller_gone(self, now: float) -> Actions:
+        """Stop working for a caller that closed its connection."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Assignment:
+    """A target and the shards that it is to serve in one sub-request."""
+
+    target: str
+    shards: frozenset[int]
+
+
+Excluded = collections.abc.Mapping[int, collections.abc.Set[str]]
+
+
+class Router(typing.Protocol):
+    """Chooses targets for the shards of one snapshot."""
+
+    def assign(
+        self, now: float, shards: frozenset[int], excluded: Excluded
+    ) -> tuple[Assignment, ...]:
+        """Assign shards to targets.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        shards : frozenset of int
+            Shards to assign; one without a usable target is left out.
+        excluded : mapping of int to set of str
+            Targets that must not serve a shard.
+
+        Returns
+        -------
+        tuple of Assignment
+            At most one per target; no shard stands in two of them.
+        """
+
+
+class Hedging(typing.Protocol):
+    """Says when an unanswered attempt is worth a hedge."""
+
+    def delay(self, now: float, target: str) -> float | None:
+        """Return the seconds from sending to hedging, or None for no hedge."""
+
+
+class Budget(typing.Protocol):
+    """Bounds extra sub-requests to a share of first attempts."""
+
+    def on_first_attempts(self, now: float, count: int) -> None:
+        """Note first attempts, which earn budget."""
+
+    def try_spend(self, now: float) -> bool:
+        """Take the budget for one extra sub-request; False when there is none."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PinnedSnapshot:
+    """The snapshot of an answer, its shards and the router for them."""
+
+    snapshot: str
+    shards: frozenset[int]
+    router: Router
+
+
+class SnapshotSource(typing.Protocol):
+    """Knows the snapshot that is published now."""
+
+    def published_after(self, snapshot: str) -> PinnedSnapshot | None:
+        """Return the published snapshot if it is another one than `snapshot`."""
--- /dev/null
+++ b/jackdawpass/request/merge.py
@@ -0,0 +1,53 @@
+"""Merges replies of shards into one answer without doubled results."""
+
+import collections.abc
+
+from jackdawpass.request import model
+
+
+class Merge:
+    """Results of the shards covered so far, all from one snapshot."""
+
+    def __init__(self, shards: frozenset[int]) -> None:
+        self._shards = shards
+        self._results: dict[int, tuple[model.ResultItem, ...]] = {}
+
+    @property
+    def uncovered(self) -> frozenset[int]:
+        """Shards without a reply."""
+        return self._shards - self._results.keys()
+
+    @property
+    def ratio(self) -> float:
+        """Covered share of the shards, from 0 to 1."""
+        return len(self._results) / len(self._shards) if self._shards else 0.0
+
+    def add(
+        self, shard: int, results: collections.abc.Iterable[model.ResultItem]
+    ) -> bool:
+        """Add the reply of a shard; return False when the shard is already covered."""
+        if shard in self._results or shard not in self._shards:
+            return False
+        self._results[shard] = tuple(results)
+        return True
+
+    def coverage(
+        self, reasons: collections.abc.Mapping[int, model.MissingReason]
+    ) -> model.Coverage:
+        """Return the coverage; `reasons` holds the reason of each missing shard."""
+        missing = tuple(
+            model.MissingShard(
+                shard, reasons.get(shard, model.MissingReason.NOT_STARTED)
+            )
+            for shard in sorted(self.uncovered)
+        )
+        return model.Coverage(len(self._shards), len(self._results), missing)
+
+    def top(self, limit: int) -> tuple[model.ResultItem, ...]:
+        """Return the best `limit` results, by falling score, then by id."""
+        unique: dict[str, model.ResultItem] = {}
+        for shard in sorted(self._results):
+            for item in self._results[shard]:
+                unique.setdefault(item.item_id, item)
+        ordered = sorted(unique.values(), key=lambda item: (-item.score, item.item_id))
+        return tuple(ordered[:limit])
--- /dev/null
+++ b/jackdawpass/request/runner.py
@@ -0,0 +1,155 @@
+"""Performs the actions of one request's state machine."""
+
+import collections
+import collections.abc
+import typing
+
+from jackdawpass import clock
+from jackdawpass.request import machine, model, problems
+
+OnFinish = collections.abc.Callable[[model.Answer | problems.Problem], None]
+
+
+class Listener(typing.Protocol):
+    """Receives the events of an attempt from a target's channel."""
+
+    def on_sent(self, attempt_id: int) -> None:
+        """Note that the target may have read bytes of the attempt."""
+
+    def on_reply(self, attempt_id: int, reply: model.SubReply) -> None:
+        """Take the target's reply."""
+
+    def on_failure(self, attempt_id: int, failure: model.AttemptFailure) -> None:
+        """Take the failure of the attempt."""
+
+
+class Ticket(typing.Protocol):
+    """A submitted attempt."""
+
+    def cancel(self) -> None:
+        """Withdraw the attempt; no event follows."""
+
+
+class Submitter(typing.Protocol):
+    """Hands attempts to the channels of their targets."""
+
+    def submit(
+        self, attempt: model.Attempt, query: bytes, listener: Listener
+    ) -> Ticket:
+        """Queue an attempt for its target; `query` is the shared encoded query."""
+
+
+class Runner:
+    """Connects one state machine to the reactor and to the targets' channels.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Sets the machine's timer.
+    states : Machine
+        The state machine of the request.
+    submitter : Submitter
+        Takes the attempts.
+    query : bytes
+        Encoded query shared by all sub-requests.
+    on_finish : callable
+        Called once with the outcome, unless the caller has gone.
+    """
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        states: machine.Machine,
+        submitter: Submitter,
+        query: bytes,
+        on_finish: OnFinish,
+    ) -> None:
+        self._reactor = reactor
+        self._states = states
+        self._submitter = submitter
+        self._query = query
+        self._on_finish: OnFinish | None = on_finish
+        self._tickets: dict[int, Ticket] = {}
+        self._unended: set[int] = set()
+        self._pending: collections.deque[machine.Action] = collections.deque()
+        self._performing = False
+        self._timer: typing.Any = None
+
+    def start(self) -> None:
+        """Begin the request."""
+        self._perform(self._states.start(clock.monotonic()))
+
+    def caller_gone(self) -> None:
+        """Cancel what the machine gives up for a caller that went away."""
+        self._perform(self._states.on_caller_gone(clock.monotonic()))
+
+    def on_sent(self, attempt_id: int) -> None:
+        """Pass on that an attempt may have been read."""
+        self._perform(self._states.on_sent(clock.monotonic(), attempt_id))
+
+    def on_reply(self, attempt_id: int, reply: model.SubReply) -> None:
+        """Pass on a reply."""
+        self._end(attempt_id)
+        self._perform(self._states.on_reply(clock.monotonic(), attempt_id, reply))
+
+    def on_failure(self, attempt_id: int, failure: model.AttemptFailure) -> None:
+        """Pass on a failure."""
+        self._end(attempt_id)
+        self._perform(self._states.on_failure(clock.monotonic(), attempt_id, failure))
+
+    def _end(self, attempt_id: int) -> Ticket | None:
+        self._unended.discard(attempt_id)
+        return self._tickets.pop(attempt_id, None)
+
+    def _perform(self, actions: machine.Actions) -> None:
+        # A channel may call back while an action is performed; its actions queue up
+        # behind those already decided.
+        self._pending.extend(actions)
+        if self._performing:
+            return
+        self._performing = True
+        try:
+            while self._pending:
+                self._perform_one(self._pending.popleft())
+        finally:
+            self._performing = False
+
+    def _perform_one(self, action: machine.Action) -> None:
+        match action:
+            case machine.Send(attempt):
+                self._send(attempt)
+            case machine.Cancel(attempt_id):
+                ticket = self._end(attempt_id)
+                if ticket is not None:
+                    ticket.cancel()
+            case machine.WakeAt(at):
+                self._set_timer(at)
+            case machine.Finish(outcome):
+                self._finish(outcome)
+
+    def _send(self, attempt: model.Attempt) -> None:
+        # The attempt may end before `submit` returns; its ticket is then of no use.
+        self._unended.add(attempt.attempt_id)
+        ticket = self._submitter.submit(attempt, self._query, self)
+        if attempt.attempt_id in self._unended:
+            self._tickets[attempt.attempt_id] = ticket
+
+    def _set_timer(self, at: float) -> None:
+        self._stop_timer()
+        delay = max(0.0, at - clock.monotonic())
+        self._timer = self._reactor.callLater(delay, self._on_timer)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self._perform(self._states.on_timer(clock.monotonic()))
+
+    def _finish(self, outcome: model.Answer | problems.Problem) -> None:
+        self._stop_timer()
+        on_finish, self._on_finish = self._on_finish, None
+        if on_finish is not None:
+            on_finish(outcome)
--- /dev/null
+++ b/jackdawpass/standins/corpus.py
@@ -0,0 +1,26 @@
+"""Deterministic index content that the target stand-ins serve."""
+
+import typing
+
+import xxhash
+
+ITEMS_PER_SHARD = 5
+
+
+def shard_results(
+    service: str, snapshot: str, shard: int
+) -> list[dict[str, typing.Any]]:
+    """Return the results of one shard; every holder of the shard has the same."""
+    return [
+        {
+            "id": f"{service}-{shard}-{item}",
+            "score": _score(service, snapshot, shard, item),
+            "value": {"snapshot": snapshot, "shard": shard},
+        }
+        for item in range(ITEMS_PER_SHARD)
+    ]
+
+
+def _score(service: str, snapshot: str, shard: int, item: int) -> float:
+    text = f"{service}/{snapshot}/{shard}/{item}"
+    return xxhash.xxh3_64_intdigest(text.encode()) % 10_000 / 10_000
--- /dev/null
+++ b/jackdawpass/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one configuration version."""
--- /dev/null
+++ b/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocol, checked by a model checker."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; they mirror the package."""
--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,210 @@
+"""Starts the product and its stand-ins as separate processes on loopback."""
+
+import collections.abc
+import dataclasses
+import json
+import signal
+import subprocess
+import sys
+import time
+import typing
+import urllib.error
+import urllib.request
+
+from jackdawpass.version import parts
+
+START_TIMEOUT_SECONDS = 20.0
+POLL_SECONDS = 0.02
+
+
+@dataclasses.dataclass(frozen=True)
+class HttpAnswer:
+    """Status, headers and decoded JSON body of a reply."""
+
+    status: int
+    headers: collections.abc.Mapping[str, str]
+    document: typing.Any
+
+
+def call(
+    method: str,
+    url: str,
+    document: object = None,
+    headers: collections.abc.Mapping[str, str] | None = None,
+    timeout: float = 20.0,
+) -> HttpAnswer:
+    """Make one HTTP call and decode its JSON reply."""
+    body = None if document is None else json.dumps(document).encode()
+    return call_raw(method, url, body, headers, timeout)
+
+
+def call_raw(
+    method: str,
+    url: str,
+    body: bytes | None,
+    headers: collections.abc.Mapping[str, str] | None = None,
+    timeout: float = 20.0,
+) -> HttpAnswer:
+    """Make one HTTP call with the given body."""
+    request = urllib.request.Request(
+        url, data=body, method=method, headers=dict(headers or {})
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as reply:
+            return HttpAnswer(reply.status, dict(reply.headers), _decode(reply.read()))
+    except urllib.error.HTTPError as error:
+        return HttpAnswer(error.code, dict(error.headers), _decode(error.read()))
+
+
+def _decode(body: bytes) -> typing.Any:
+    return json.loads(body) if body else None
+
+
+def wait_for(
+    condition: collections.abc.Callable[[], bool],
+    what: str,
+    timeout: float = START_TIMEOUT_SECONDS,
+) -> None:
+    """Poll until a condition holds."""
+    deadline = time.monotonic() + timeout
+    while not condition():
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"gave up waiting until {what}")
+        time.sleep(POLL_SECONDS)
+
+
+class Process:
+    """One process of the rig; `url` is where it listens."""
+
+    def __init__(self, arguments: collections.abc.Sequence[str]) -> None:
+        self._popen = subprocess.Popen(
+            [sys.executable, "-m", "jackdawpass", *arguments],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        assert self._popen.stdout is not None
+        line = self._popen.stdout.readline()
+        if not line:
+            raise RuntimeError(f"{arguments} ended with {self._popen.wait()}")
+        self.port = int(json.loads(line)["port"])
+        self.url = f"http://127.0.0.1:{self.port}"
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        self._popen.send_signal(number)
+
+    def wait(self, timeout: float = 20.0) -> int:
+        """Wait for the end of the process and return its exit code."""
+        return self._popen.wait(timeout)
+
+    def stop(self) -> None:
+        """Kill the process if it still runs."""
+        if self._popen.poll() is None:
+            self._popen.kill()
+        self._popen.wait()
+        if self._popen.stdout is not None:
+            self._popen.stdout.close()
+
+
+class Rig:
+    """A platform stand-in, targets and entry instances."""
+
+    def __init__(self) -> None:
+        self._processes: list[Process] = []
+        self.platform = self.start("stand-in", "platform")
+        self.targets: dict[str, Process] = {}
+
+    def start(self, *arguments: str) -> Process:
+        """Start a process that prints its port as JSON on its first line."""
+        process = Process(arguments)
+        self._processes.append(process)
+        return process
+
+    def close(self) -> None:
+        """Kill all processes."""
+        for process in reversed(self._processes):
+            process.stop()
+
+    def add_target(self, name: str, **options: typing.Any) -> Process:
+        """Start a target stand-in."""
+        text = json.dumps({"name": name, **options})
+        self.targets[name] = self.start("stand-in", "target", "--options", text)
+        return self.targets[name]
+
+    def target_settings(self, zone_of: dict[str, str]) -> dict[str, typing.Any]:
+        """Return the configuration's `targets` of running target stand-ins."""
+        return {
+            name: {"host": "127.0.0.1", "port": self.targets[name].port, "zone": zone}
+            for name, zone in zone_of.items()
+        }
+
+    def add_entry(self, tmp_path: typing.Any, **settings: typing.Any) -> Process:
+        """Start an entry instance and wait until it is ready."""
+        entry = self.start_entry(tmp_path, **settings)
+        self.wait_ready(entry)
+        return entry
+
+    def start_entry(self, tmp_path: typing.Any, **settings: typing.Any) -> Process:
+        """Start an entry instance without waiting for its configuration."""
+        document = {
+            "instance": "entry-1",
+            "zone": "a",
+            "site": "site-1",
+            "platform_url": self.platform.url,
+            **settings,
+        }
+        path = tmp_path / f"{document['instance']}.json"
+        path.write_text(json.dumps(document))
+        return self.start("entry", "--settings", str(path))
+
+    def wait_ready(self, entry: Process) -> None:
+        """Wait until an entry instance is ready."""
+        wait_for(
+            lambda: call("GET", entry.url + "/readyz").status == 200,
+            "the entry instance is ready",
+        )
+
+    def commit(self, changes: dict[str, bytes], version: int = 1) -> None:
+        """Write parts and a head straight into the platform stand-in."""
+        named = {}
+        for name, content in changes.items():
+            named[name] = parts.chunk_hash(content)
+            self._put("chunks/" + named[name], json.loads(content), create=True)
+        head = parts.Head(version, f"rig-{version}", "", named)
+        self._put("head", parts.head_document(head), create=version == 1)
+
+    def _put(self, key: str, value: object, create: bool) -> None:
+        url = f"{self.platform.url}/v1/objects/{key}"
+        if create:
+            headers = {"If-None-Match": "*"}
+        else:
+            headers = {"If-Match": str(call("GET", url).document["version"])}
+        answer = call("PUT", url, value, headers)
+        if answer.status not in (200, 201, 412):
+            raise RuntimeError(f"PUT {key}: {answer}")
+
+    def faults(self, process: Process, **faults: typing.Any) -> None:
+        """Induce faults in a stand-in; faults not named end."""
+        call("POST", process.url + "/control/faults", faults)
+
+    def totals(self, target: str) -> dict[str, int]:
+        """Return the counts of a target stand-in."""
+        url = self.targets[target].url + "/control/totals"
+        totals: dict[str, int] = call("GET", url).document
+        return totals
+
+
+def service_parts(
+    service: str,
+    targets: dict[str, typing.Any],
+    placement: dict[str, list[int]],
+    shards: int,
+    snapshot: str = "s1",
+    policy: dict[str, typing.Any] | None = None,
+) -> dict[str, bytes]:
+    """Return the parts that declare one service with a published snapshot."""
+    base = {"services": {service: {"targets": targets, "policy": policy or {}}}}
+    index = {"snapshot": snapshot, "shards": shards, "placement": placement}
+    changes = parts.split_base(base)
+    changes[parts.INDEX_PREFIX + service] = parts.encode(index)
+    return changes
