Separate the policy of an instance from its wiring

Cause: routing, budgets and hedging were built inside the entry module, so no other policy could be measured against them. Change: process/policy.py defines the Policy and Gate protocols; the entry instance takes one. Conclusion: a baseline and the adaptive policy can run in the same experiment.

--- a/jackdawpass/commands/entry.py
+++ b/jackdawpass/commands/entry.py
@@ -7,7 +7,7 @@
 import sys
 import typing
 
-from jackdawpass.process import entry, settings
+from jackdawpass.process import entry, policy, settings
 
 
 def add_parser(subparsers: typing.Any) -> None:
@@ -27,7 +27,7 @@
     if options is None:
         print(parsed.failure(), file=sys.stderr)
         return 1
-    instance = entry.Entry(reactor, options)
+    instance = entry.Entry(reactor, options, policy.PlainPolicy(options.zone))
     instance.start()
     print(json.dumps({"port": instance.port}), flush=True)
     _stop_on_signals(reactor, instance)
--- a/jackdawpass/process/dispatcher.py
+++ b/jackdawpass/process/dispatcher.py
@@ -3,7 +3,7 @@
 import typing
 
 from jackdawpass.connection import dialect
-from jackdawpass.process import channel
+from jackdawpass.process import channel, policy
 from jackdawpass.request import model, runner
 from jackdawpass.version import catalog
 
@@ -17,9 +17,15 @@
     current catalog names its address, so that a change closes no connection in use.
     """
 
-    def __init__(self, reactor: typing.Any, wire: dialect.TargetDialect) -> None:
+    def __init__(
+        self,
+        reactor: typing.Any,
+        wire: dialect.TargetDialect,
+        decisions: policy.Policy,
+    ) -> None:
         self._reactor = reactor
         self._wire = wire
+        self._policy = decisions
         self._channels: dict[str, channel.Channel] = {}
         self._addresses: dict[str, _Address] = {}
 
@@ -36,7 +42,7 @@
                 self._channels.pop(name).close()
         for name, target in wanted.items():
             if name not in self._channels:
-                self._open(name, target, current.instances_max)
+                self._open(name, target)
 
     def submit(
         self, attempt: model.Attempt, query: bytes, listener: runner.Listener
@@ -49,9 +55,9 @@
         for each in self._channels.values():
             each.close()
 
-    def _open(self, name: str, target: catalog.Target, instances_max: int) -> None:
+    def _open(self, name: str, target: catalog.Target) -> None:
         settings = target.settings
-        share = max(1, settings.connections // instances_max)
+        share = self._policy.connections(target)
         self._addresses[name] = _address(target)
         self._channels[name] = channel.Channel(
             self._reactor, self._wire, settings.host, settings.port, share
--- a/jackdawpass/process/entry.py
+++ b/jackdawpass/process/entry.py
@@ -6,15 +6,7 @@
 
 from jackdawpass import clock
 from jackdawpass.connection import dialect, platform_api
-from jackdawpass.process import budget as budgets
-from jackdawpass.process import (
-    control,
-    dispatcher,
-    hedging,
-    http_api,
-    routing,
-    settings,
-)
+from jackdawpass.process import control, dispatcher, http_api, policy, settings
 from jackdawpass.request import fanout, machine, model, problems, runner, single_run
 from jackdawpass.version import catalog
 
@@ -28,19 +20,26 @@
         The process's reactor.
     options : EntrySettings
         Settings of the instance.
+    decisions : Policy
+        Decides on targets, limits, hedges and retries.
     """
 
-    def __init__(self, reactor: typing.Any, options: settings.EntrySettings) -> None:
+    def __init__(
+        self,
+        reactor: typing.Any,
+        options: settings.EntrySettings,
+        decisions: policy.Policy,
+    ) -> None:
         self._reactor = reactor
         self._options = options
+        self._policy = decisions
         self._wire = dialect.JsonDialect()
         self._platform = platform_api.HttpPlatform(reactor, options.platform_url)
         self._control = control.Control(
             reactor, self._platform, options.site, self._on_catalog
         )
-        self._dispatcher = dispatcher.Dispatcher(reactor, self._wire)
+        self._dispatcher = dispatcher.Dispatcher(reactor, self._wire, decisions)
         self._catalog: catalog.Catalog | None = None
-        self._budgets: dict[str, budgets.TokenBudget] = {}
         self._port: typing.Any = None
         self._draining = False
 
@@ -103,12 +102,13 @@
             return None
         if declared.shard_map.snapshot == snapshot:
             return None
-        router = routing.ServiceRouter(declared, declared.shard_map, self._options.zone)
+        router = self._policy.router(declared, declared.shard_map)
         shards = declared.shard_map.shards
         return machine.PinnedSnapshot(declared.shard_map.snapshot, shards, router)
 
     def _on_catalog(self, current: catalog.Catalog) -> None:
         self._catalog = current
+        self._policy.apply(clock.monotonic(), current)
         self._dispatcher.apply(current)
 
     def _make_states(
@@ -134,14 +134,13 @@
                 1.0,
             )
         plan = _make_plan(now, request_id, service, shard_map, query)
-        router = routing.ServiceRouter(service, shard_map, self._options.zone)
-        budget = self._budgets.setdefault(
-            name, budgets.TokenBudget(service.policy.extra_share)
-        )
+        router = self._policy.router(service, shard_map)
+        budget = self._policy.budget(service)
         if not query.idempotent:
             return single_run.SingleRun(plan, router, budget)
         source = _Source(self, name)
-        return fanout.Fanout(plan, router, hedging.NoHedging(), budget, source)
+        hedging = self._policy.hedging(service)
+        return fanout.Fanout(plan, router, hedging, budget, source)
 
 
 class _Source:
--- /dev/null
+++ b/jackdawpass/process/policy.py
@@ -0,0 +1,114 @@
+"""The policy of an entry instance: which target, when, how many at once."""
+
+import typing
+
+from jackdawpass.process import budget, hedging, routing
+from jackdawpass.request import machine, model
+from jackdawpass.version import catalog
+
+
+class Gate(typing.Protocol):
+    """Concurrency limit of one target; the channel asks it before each attempt."""
+
+    def try_start(self, now: float) -> bool:
+        """Take a place for one attempt; False when it has to wait."""
+
+    def next_start(self, now: float) -> float | None:
+        """Return when to ask again; None when only the end of an attempt helps."""
+
+    def on_reply(self, now: float, latency: float) -> None:
+        """Give back a place after a reply; `latency` is in seconds."""
+
+    def on_failure(self, now: float, failure: model.AttemptFailure) -> None:
+        """Give back a place after a failure."""
+
+    def on_cancelled(self, now: float, age: float) -> None:
+        """Give back a place after a cancellation, `age` seconds after sending."""
+
+
+class Policy(typing.Protocol):
+    """Decides for all services; the process owns one."""
+
+    def apply(self, now: float, current: catalog.Catalog) -> None:
+        """Take over a new catalog and keep what was learned of kept targets."""
+
+    def router(
+        self, service: catalog.Service, shard_map: catalog.ShardMap
+    ) -> machine.Router:
+        """Return the router for the shards of a snapshot."""
+
+    def hedging(self, service: catalog.Service) -> machine.Hedging:
+        """Return what says when to hedge a query of the service."""
+
+    def budget(self, service: catalog.Service) -> machine.Budget:
+        """Return the service's budget of extra sub-requests."""
+
+    def gate(self, target: catalog.Target) -> Gate:
+        """Return the concurrency limit of a target, the same one for each call."""
+
+    def connections(self, target: catalog.Target) -> int:
+        """Return the largest number of connections to open to a target."""
+
+
+class OpenGate:
+    """Lets every attempt start at once."""
+
+    def try_start(self, now: float) -> bool:
+        """Return True."""
+        return True
+
+    def next_start(self, now: float) -> float | None:
+        """Return None, since no attempt ever waits."""
+        return None
+
+    def on_reply(self, now: float, latency: float) -> None:
+        """Ignore the reply."""
+
+    def on_failure(self, now: float, failure: model.AttemptFailure) -> None:
+        """Ignore the failure."""
+
+    def on_cancelled(self, now: float, age: float) -> None:
+        """Ignore the cancellation."""
+
+
+class PlainPolicy:
+    """Zone-local routing with a retry budget, without hedges or limits.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of this instance.
+    """
+
+    def __init__(self, zone: str) -> None:
+        self._zone = zone
+        self._instances_max = 1
+        self._budgets: dict[str, budget.TokenBudget] = {}
+        self._gate = OpenGate()
+
+    def apply(self, now: float, current: catalog.Catalog) -> None:
+        """Take over a new catalog."""
+        self._instances_max = current.instances_max
+
+    def router(
+        self, service: catalog.Service, shard_map: catalog.ShardMap
+    ) -> machine.Router:
+        """Return the router for the shards of a snapshot."""
+        return routing.ServiceRouter(service, shard_map, self._zone)
+
+    def hedging(self, service: catalog.Service) -> machine.Hedging:
+        """Return a hedging that never hedges."""
+        return hedging.NoHedging()
+
+    def budget(self, service: catalog.Service) -> machine.Budget:
+        """Return the service's budget of extra sub-requests."""
+        share = service.policy.extra_share
+        return self._budgets.setdefault(service.name, budget.TokenBudget(share))
+
+    def gate(self, target: catalog.Target) -> Gate:
+        """Return a gate that is always open."""
+        return self._gate
+
+    def connections(self, target: catalog.Target) -> int:
+        """Return an equal share of the target's connection limit."""
+        return max(1, target.settings.connections // self._instances_max)
