Add the adaptive concurrency limit and the waiting queue of a target

Cause: 20 instances on a server of 2 slots need less than one concurrent request each, and attempts need somewhere to wait. Change: process/limiter.py adapts to latency and shed replies and paces under one; process/waiting.py orders by priority and deadline. Conclusion: the channel can use both next.

--- /dev/null
+++ b/jackdawpass/process/limiter.py
@@ -0,0 +1,153 @@
+"""Adaptive concurrency limit of one target, kept without shared state."""
+
+import math
+
+from jackdawpass.request import model
+
+INITIAL_LIMIT = 1.0
+SHORT_WEIGHT = 0.1
+# Added to the tolerated latency: delays of the own event loop are no sign of load.
+LATENCY_SLACK_SECONDS = 0.002
+TOLERATED_RATIO = 2.0
+MIN_GRADIENT = 0.1
+SMOOTHING = 0.2
+HEADROOM = 0.2
+SHED_FACTOR = 0.7
+# Bounds what one straggler adds to the short-term latency.
+CLIP_RATIO = 8.0
+BASE_DRIFT_PER_SECOND = 0.01
+MAX_PAUSE_SECONDS = 1.0
+
+
+class Limiter:
+    """Concurrency limit that follows latency and shed replies.
+
+    The limit settles where the short-term latency is a small multiple of the unloaded
+    latency. The additive term grows with the square root of the limit, so instances
+    that share a target converge to equal limits. Under one, the limit is a pace: one
+    request at a time, with pauses.
+
+    Parameters
+    ----------
+    floor : float
+        Smallest limit: the target's slots divided by the ceiling of instances. All
+        instances at their floor together cannot exceed the slots.
+    ceiling : float
+        Largest limit; more than the connections allowed cannot be used.
+    """
+
+    def __init__(self, floor: float, ceiling: float) -> None:
+        self._floor = floor
+        self._ceiling = max(floor, ceiling)
+        self._limit = min(INITIAL_LIMIT, self._ceiling)
+        self._limit = max(self._limit, floor)
+        self._in_flight = 0
+        self._short: float | None = None
+        self._base = math.inf
+        self._last_sample = -math.inf
+        self._last_start = -math.inf
+        self._last_shed = -math.inf
+        self._limited = False
+
+    @property
+    def limit(self) -> float:
+        """Requests that may run at once; under one, the share of time in use."""
+        return self._limit
+
+    @property
+    def in_flight(self) -> int:
+        """Places that are taken."""
+        return self._in_flight
+
+    def set_bounds(self, floor: float, ceiling: float) -> None:
+        """Change the bounds and keep what was learned."""
+        self._floor = floor
+        self._ceiling = max(floor, ceiling)
+        self._set_limit(self._limit)
+
+    def expected_latency(self) -> float:
+        """Return the recent latency in seconds; 0 when unknown."""
+        return 0.0 if self._short is None else self._short
+
+    def try_start(self, now: float) -> bool:
+        """Take a place for one attempt; False when it has to wait."""
+        if self._in_flight >= max(1, math.floor(self._limit)):
+            self._limited = True
+            return False
+        if now < self._next_paced(now):
+            self._limited = True
+            return False
+        self._in_flight += 1
+        self._last_start = now
+        return True
+
+    def next_start(self, now: float) -> float | None:
+        """Return when to ask again; None when only the end of an attempt helps."""
+        if self._in_flight >= max(1, math.floor(self._limit)):
+            return None
+        return self._next_paced(now)
+
+    def on_reply(self, now: float, latency: float) -> None:
+        """Give back a place and adapt to the latency in seconds."""
+        self._give_back()
+        self._adapt(now, latency)
+
+    def on_failure(self, now: float, failure: model.AttemptFailure) -> None:
+        """Give back a place; a shed reply lowers the limit once per round trip."""
+        self._give_back()
+        if failure.kind is not model.FailureKind.SHED:
+            return
+        if 0 <= now - self._last_shed < self.expected_latency():
+            return
+        self._last_shed = now
+        self._set_limit(self._limit * SHED_FACTOR)
+
+    def on_cancelled(self, now: float, age: float) -> None:
+        """Give back a place; the latency is known to be at least `age`."""
+        self._give_back()
+        if self._short is not None and age > self._short:
+            self._adapt(now, age)
+
+    def _give_back(self) -> None:
+        self._in_flight = max(0, self._in_flight - 1)
+
+    def _next_paced(self, now: float) -> float:
+        if self._limit >= 1:
+            return now
+        if now < self._last_start:
+            # The clock stepped back; without this the pause would last as long.
+            self._last_start = now
+        pause = self.expected_latency() / self._limit
+        return self._last_start + min(pause, MAX_PAUSE_SECONDS)
+
+    def _adapt(self, now: float, latency: float) -> None:
+        short = self._note(now, latency)
+        tolerated = TOLERATED_RATIO * self._base + LATENCY_SLACK_SECONDS
+        gradient = min(1.0, max(MIN_GRADIENT, tolerated / short))
+        wanted = self._limit * gradient + HEADROOM * math.sqrt(self._limit)
+        used = self._limited or self._in_flight + 1 > self._limit / 2
+        self._limited = False
+        if wanted > self._limit and not used:
+            return
+        self._set_limit(self._limit + SMOOTHING * (wanted - self._limit))
+
+    def _note(self, now: float, latency: float) -> float:
+        latency = max(latency, 1e-6)
+        if self._short is None:
+            self._short = latency
+        else:
+            clipped = min(latency, CLIP_RATIO * self._base + LATENCY_SLACK_SECONDS)
+            self._short += SHORT_WEIGHT * (clipped - self._short)
+        elapsed = max(0.0, now - self._last_sample)
+        self._last_sample = now
+        if math.isfinite(elapsed):
+            self._base *= 1 + BASE_DRIFT_PER_SECOND * elapsed
+        self._base = min(self._base, self._short)
+        if self._limit <= 2 * self._floor:
+            # All instances at twice their floor keep at most twice the slots busy, so
+            # at least half of this latency is the target's own.
+            self._base = max(self._base, self._short / 2)
+        return self._short
+
+    def _set_limit(self, limit: float) -> None:
+        self._limit = min(self._ceiling, max(self._floor, limit))
--- /dev/null
+++ b/jackdawpass/process/waiting.py
@@ -0,0 +1,131 @@
+"""Bounded queue of one target, ordered by priority and then deadline."""
+
+import collections.abc
+import dataclasses
+import heapq
+import typing
+
+T = typing.TypeVar("T")
+
+_COMPACT_SLACK = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Place of an item in the queue.
+
+    Attributes
+    ----------
+    priority : int
+        A higher one leaves first.
+    deadline : float
+        Monotonic seconds; within a priority the earlier one leaves first.
+    number : int
+        Order of arrival, unique within the queue.
+    """
+
+    priority: int
+    deadline: float
+    number: int
+
+    @property
+    def rank(self) -> tuple[int, float, int]:
+        """Sort key: the smallest rank leaves first."""
+        return (-self.priority, self.deadline, self.number)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admission(typing.Generic[T]):
+    """What became of a new item.
+
+    Attributes
+    ----------
+    place : Place or None
+        Place of the new item; None when it is refused.
+    displaced : T or None
+        The waiting item that had to leave for it, if any.
+    """
+
+    place: Place | None
+    displaced: T | None = None
+
+
+class WaitingQueue(typing.Generic[T]):
+    """Holds items until they start, expire or are withdrawn."""
+
+    def __init__(self) -> None:
+        self._items: dict[int, tuple[Place, T]] = {}
+        self._ranked: list[tuple[int, float, int]] = []
+        self._deadlines: list[tuple[float, int]] = []
+        self._next_number = 0
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    @property
+    def earliest_deadline(self) -> float | None:
+        """Earliest deadline of a waiting item; None when the queue is empty."""
+        while self._deadlines and self._deadlines[0][1] not in self._items:
+            heapq.heappop(self._deadlines)
+        return self._deadlines[0][0] if self._deadlines else None
+
+    def push(
+        self, item: T, priority: int, deadline: float, capacity: int
+    ) -> Admission[T]:
+        """Add an item; when the queue is full, the one of the lowest priority leaves.
+
+        Parameters
+        ----------
+        priority : int
+            A higher one leaves the queue first.
+        deadline : float
+            Monotonic seconds.
+        capacity : int
+            Largest number of items.
+        """
+        displaced = None
+        if len(self._items) >= capacity:
+            worst = max((p for p, _ in self._items.values()), key=_rank, default=None)
+            if worst is None or worst.priority >= priority:
+                return Admission(None)
+            displaced = self.remove(worst)
+        place = Place(priority, deadline, self._next_number)
+        self._next_number += 1
+        self._items[place.number] = (place, item)
+        heapq.heappush(self._ranked, place.rank)
+        heapq.heappush(self._deadlines, (deadline, place.number))
+        return Admission(place, displaced)
+
+    def pop(self) -> T | None:
+        """Take the first item; None when the queue is empty."""
+        while self._ranked:
+            number = heapq.heappop(self._ranked)[2]
+            if number in self._items:
+                return self._items.pop(number)[1]
+        return None
+
+    def remove(self, place: Place) -> T | None:
+        """Withdraw an item; None when it has left already."""
+        entry = self._items.pop(place.number, None)
+        self._compact()
+        return None if entry is None else entry[1]
+
+    def pop_expired(self, before: float) -> collections.abc.Iterator[T]:
+        """Take the items whose deadline is at or before the given time."""
+        while (earliest := self.earliest_deadline) is not None and earliest <= before:
+            number = heapq.heappop(self._deadlines)[1]
+            yield self._items.pop(number)[1]
+
+    def _compact(self) -> None:
+        # Withdrawn items stay in the heaps until here; without a bound on them a
+        # queue whose items are all cancelled would grow for ever.
+        if len(self._ranked) > 2 * len(self._items) + _COMPACT_SLACK:
+            places = [place for place, _ in self._items.values()]
+            self._ranked = [place.rank for place in places]
+            self._deadlines = [(place.deadline, place.number) for place in places]
+            heapq.heapify(self._ranked)
+            heapq.heapify(self._deadlines)
+
+
+def _rank(place: Place) -> tuple[int, float, int]:
+    return place.rank
