Add the adaptive policy of an instance

Cause: PlainPolicy neither measures targets nor hedges. Change: live statistics with ejection and slow start, zone-local routing with bounded spill, percentile hedges, a budget that closes when a whole service is slow, and shares of connection limits; the entry command and the demo build AdaptivePolicy. Conclusion: decisions are pure and take the time as an argument.

--- a/jackdawpass/commands/demo.py
+++ b/jackdawpass/commands/demo.py
@@ -2,6 +2,7 @@
 
 import argparse
 import json
+import random
 import sys
 import typing
 
@@ -11,7 +12,7 @@
 from twisted.web import client
 
 from jackdawpass.connection import platform_api
-from jackdawpass.process import entry, policy, settings, store
+from jackdawpass.process import adaptive, entry, settings, store
 from jackdawpass.standins import platform, target
 from jackdawpass.version import parts
 
@@ -70,7 +71,9 @@
         )
         _require(isinstance(committed, result.Success), f"commit: {committed}")
         options = settings.EntrySettings("entry-1", "a", "demo", platform_url=url)
-        instance = entry.Entry(self._reactor, options, policy.PlainPolicy("a"))
+        instance = entry.Entry(
+            self._reactor, options, adaptive.AdaptivePolicy("a", random.Random())
+        )
         instance.start()
         yield self._wait_until_ready(instance)
         yield self._show_complete(instance)
--- a/jackdawpass/commands/entry.py
+++ b/jackdawpass/commands/entry.py
@@ -3,11 +3,12 @@
 import argparse
 import json
 import pathlib
+import random
 import signal
 import sys
 import typing
 
-from jackdawpass.process import entry, policy, settings
+from jackdawpass.process import adaptive, entry, settings
 
 
 def add_parser(subparsers: typing.Any) -> None:
@@ -27,7 +28,9 @@
     if options is None:
         print(parsed.failure(), file=sys.stderr)
         return 1
-    instance = entry.Entry(reactor, options, policy.PlainPolicy(options.zone))
+    instance = entry.Entry(
+        reactor, options, adaptive.AdaptivePolicy(options.zone, random.Random())
+    )
     instance.start()
     print(json.dumps({"port": instance.port}), flush=True)
     _stop_on_signals(reactor, instance)
--- /dev/null
+++ b/jackdawpass/process/adaptive.py
@@ -0,0 +1,209 @@
+"""The default policy: adapts to what this instance sees of its targets."""
+
+import collections.abc
+import dataclasses
+import random
+
+from jackdawpass.process import (
+    budget,
+    hedging,
+    latencies,
+    limiter,
+    policy,
+    replicas,
+    routing,
+    shares,
+)
+from jackdawpass.request import machine, model
+from jackdawpass.version import catalog
+
+
+class _ServiceState:
+    """What was learned of one service."""
+
+    def __init__(self, service: catalog.Service) -> None:
+        self.replicas = replicas.ServiceReplicas()
+        self.latencies = latencies.ServiceLatencies()
+        self.spill = routing.SpillBudget()
+        self.settings = service.policy
+        self.budget = budget.ServiceBudget(service.policy.extra_share, self.latencies)
+        self.shard_map: catalog.ShardMap | None = None
+        self.router: routing.AdaptiveRouter | None = None
+
+    def apply(self, service: catalog.Service) -> None:
+        """Take over changed settings and targets."""
+        if service.policy.extra_share != self.settings.extra_share:
+            share = service.policy.extra_share
+            self.budget = budget.ServiceBudget(share, self.latencies)
+        self.settings = service.policy
+        self.replicas.keep(service.targets)
+        self.shard_map = None
+        self.router = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedTarget:
+    """A target as the platform's list of instances shows it."""
+
+    name: str
+    leaving: bool
+
+
+class AdaptivePolicy:
+    """Routes, limits, hedges and retries by what this instance learns alone.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of this instance.
+    generator : random.Random
+        Source of all random choices.
+    """
+
+    def __init__(self, zone: str, generator: random.Random) -> None:
+        self._zone = zone
+        self._random = generator
+        self._instances_max = 1
+        self._instances_seen = 0
+        self._services: dict[str, _ServiceState] = {}
+        self._limiters: dict[str, limiter.Limiter] = {}
+
+    def apply(self, now: float, current: catalog.Catalog) -> None:
+        """Take over a new catalog and keep what was learned of kept targets."""
+        self._instances_max = current.instances_max
+        states = {}
+        targets: dict[str, catalog.Target] = {}
+        for name, service in current.services.items():
+            states[name] = self._services.get(name) or _ServiceState(service)
+            states[name].apply(service)
+            targets.update(service.targets)
+        self._services = states
+        self._limiters = {
+            name: self._kept_limiter(target) for name, target in targets.items()
+        }
+
+    def on_instances(
+        self,
+        now: float,
+        entries: int,
+        targets: collections.abc.Iterable[ListedTarget],
+    ) -> None:
+        """Note the list of instances, which may lag or be empty.
+
+        Parameters
+        ----------
+        entries : int
+            Live and leaving entry instances in the list.
+        targets : iterable of ListedTarget
+            Targets in the list; one that is absent keeps its state.
+        """
+        self._instances_seen = entries
+        for listed in targets:
+            for state in self._services.values():
+                replica = state.replicas.get(listed.name)
+                if replica is not None:
+                    replica.on_listed(now, listed.leaving)
+
+    def router(
+        self, service: catalog.Service, shard_map: catalog.ShardMap
+    ) -> machine.Router:
+        """Return the router for the shards of a snapshot."""
+        state = self._state(service)
+        if state.router is None or state.shard_map is not shard_map:
+            state.shard_map = shard_map
+            state.router = routing.AdaptiveRouter(
+                service,
+                shard_map,
+                self._zone,
+                state.replicas,
+                state.spill,
+                self._at_limit,
+                self._random,
+            )
+        return state.router
+
+    def hedging(self, service: catalog.Service) -> machine.Hedging:
+        """Return what says when to hedge a query of the service."""
+        state = self._state(service)
+        percentile = state.settings.hedge_percentile
+        return hedging.PercentileHedging(state.latencies, state.budget, percentile)
+
+    def budget(self, service: catalog.Service) -> machine.Budget:
+        """Return the service's budget of extra sub-requests."""
+        return self._state(service).budget
+
+    def gate(self, target: catalog.Target) -> policy.Gate:
+        """Return the concurrency limit of a target, the same one for each call."""
+        if target.name not in self._limiters:
+            self._limiters[target.name] = self._kept_limiter(target)
+        return self._limiters[target.name]
+
+    def connections(self, target: catalog.Target) -> int:
+        """Return the largest number of connections to open to a target."""
+        return shares.connection_share(
+            target.settings.connections, self._instances_max, self._instances_seen
+        )
+
+    def queue_rule(self, service: str) -> policy.QueueRule:
+        """Return how sub-requests of a service wait."""
+        state = self._services.get(service)
+        if state is None:
+            return policy.QueueRule()
+        return policy.QueueRule(state.settings.priority, state.settings.max_queue)
+
+    def on_submitted(self, now: float, attempt: model.Attempt) -> None:
+        """Note an attempt that was handed to its target's channel."""
+        replica = self._replica(attempt)
+        if replica is not None:
+            replica.on_submitted(now)
+
+    def on_reply(self, now: float, attempt: model.Attempt, latency: float) -> None:
+        """Note a reply; `latency` is in seconds."""
+        replica = self._replica(attempt)
+        if replica is not None:
+            replica.on_reply(now, latency)
+            self._services[attempt.service].latencies.add(now, latency)
+
+    def on_failure(
+        self, now: float, attempt: model.Attempt, failure: model.AttemptFailure
+    ) -> None:
+        """Note a failure."""
+        state = self._services.get(attempt.service)
+        if state is not None:
+            state.replicas.on_failure(now, attempt.target, failure)
+
+    def on_cancelled(self, now: float, attempt: model.Attempt, age: float) -> None:
+        """Note a cancellation, `age` seconds after sending; 0 when not sent."""
+        state = self._services.get(attempt.service)
+        if state is None:
+            return
+        state.replicas.on_cancelled(now, attempt.target, age)
+        # A lower bound of the latency; without it the percentile would know only the
+        # attempts that were fast enough.
+        if state.latencies.ready and age > state.latencies.percentile(50):
+            state.latencies.add(now, age)
+
+    def _state(self, service: catalog.Service) -> _ServiceState:
+        state = self._services.get(service.name)
+        if state is None:
+            # A request may outlive its service's last catalog.
+            state = _ServiceState(service)
+            state.apply(service)
+        return state
+
+    def _replica(self, attempt: model.Attempt) -> replicas.Replica | None:
+        state = self._services.get(attempt.service)
+        return None if state is None else state.replicas.get(attempt.target)
+
+    def _at_limit(self, name: str, replica: replicas.Replica) -> bool:
+        gate = self._limiters.get(name)
+        return gate is not None and replica.in_flight >= gate.limit + 1
+
+    def _kept_limiter(self, target: catalog.Target) -> limiter.Limiter:
+        floor = target.settings.slots / max(1, self._instances_max)
+        ceiling = float(self.connections(target))
+        kept = self._limiters.get(target.name)
+        if kept is None:
+            return limiter.Limiter(floor, ceiling)
+        kept.set_bounds(floor, ceiling)
+        return kept
--- a/jackdawpass/process/budget.py
+++ b/jackdawpass/process/budget.py
@@ -1,5 +1,23 @@
 """Budget of extra sub-requests: hedges and retries."""
 
+import typing
+
+BURST_TOKENS = 10.0
+# Kept for retries: no hedge is planned when fewer tokens than this are left.
+RETRY_TOKENS = 4.0
+# While the whole service is slow, only this reserve pays, for the few retries that a
+# drain or a lost replica needs.
+RESERVE_SHARE = 0.005
+RESERVE_TOKENS = 10.0
+
+
+class Slowness(typing.Protocol):
+    """Says whether a whole service is slow."""
+
+    @property
+    def slow(self) -> bool:
+        """True while the service is slower than in the long term."""
+
 
 class TokenBudget:
     """Earns a share of a token with each first attempt; an extra one costs a token.
@@ -12,11 +30,16 @@
         Largest number of tokens saved up.
     """
 
-    def __init__(self, share: float, burst: float = 10.0) -> None:
+    def __init__(self, share: float, burst: float = BURST_TOKENS) -> None:
         self._share = share
         self._burst = burst
         self._tokens = burst
 
+    @property
+    def tokens(self) -> float:
+        """Tokens left."""
+        return self._tokens
+
     def on_first_attempts(self, now: float, count: int) -> None:
         """Note first attempts, which earn budget."""
         self._tokens = min(self._burst, self._tokens + self._share * count)
@@ -27,3 +50,38 @@
             return False
         self._tokens -= 1
         return True
+
+
+class ServiceBudget:
+    """Budget that closes, but for a small reserve, when the whole service is slow.
+
+    Parameters
+    ----------
+    share : float
+        Extra sub-requests as a share of first attempts; 0 permits none.
+    slowness : Slowness
+        State of the service.
+    """
+
+    def __init__(self, share: float, slowness: Slowness) -> None:
+        reserved = min(share, RESERVE_SHARE)
+        self._open = TokenBudget(share - reserved, BURST_TOKENS if share > 0 else 0.0)
+        self._reserve = TokenBudget(reserved, RESERVE_TOKENS if share > 0 else 0.0)
+        self._slowness = slowness
+
+    @property
+    def allows_hedges(self) -> bool:
+        """True while there is budget left beyond what retries need."""
+        return not self._slowness.slow and self._open.tokens >= RETRY_TOKENS
+
+    def on_first_attempts(self, now: float, count: int) -> None:
+        """Note first attempts, which earn budget."""
+        if not self._slowness.slow:
+            self._open.on_first_attempts(now, count)
+        self._reserve.on_first_attempts(now, count)
+
+    def try_spend(self, now: float) -> bool:
+        """Take the budget for one extra sub-request; False when there is none."""
+        if not self._slowness.slow and self._open.try_spend(now):
+            return True
+        return self._reserve.try_spend(now)
--- a/jackdawpass/process/policy.py
+++ b/jackdawpass/process/policy.py
@@ -1,5 +1,6 @@
 """The policy of an entry instance: which target, when, how many at once."""
 
+import dataclasses
 import typing
 
 from jackdawpass.process import budget, hedging, routing
@@ -7,6 +8,40 @@
 from jackdawpass.version import catalog
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueRule:
+    """How sub-requests of a service wait for a target.
+
+    Attributes
+    ----------
+    priority : int
+        A higher one leaves the queue first.
+    max_queue : int
+        Largest number of sub-requests waiting for one target.
+    """
+
+    priority: int = 5
+    max_queue: int = 64
+
+
+class Observer(typing.Protocol):
+    """Sees each attempt once when it is submitted and once when it ends."""
+
+    def on_submitted(self, now: float, attempt: model.Attempt) -> None:
+        """Note an attempt that was handed to its target's channel."""
+
+    def on_reply(self, now: float, attempt: model.Attempt, latency: float) -> None:
+        """Note a reply; `latency` is in seconds."""
+
+    def on_failure(
+        self, now: float, attempt: model.Attempt, failure: model.AttemptFailure
+    ) -> None:
+        """Note a failure."""
+
+    def on_cancelled(self, now: float, attempt: model.Attempt, age: float) -> None:
+        """Note a cancellation, `age` seconds after sending; 0 when not sent."""
+
+
 class Gate(typing.Protocol):
     """Concurrency limit of one target; the channel asks it before each attempt."""
 
@@ -16,6 +51,9 @@
     def next_start(self, now: float) -> float | None:
         """Return when to ask again; None when only the end of an attempt helps."""
 
+    def expected_latency(self) -> float:
+        """Return the recent latency in seconds; 0 when unknown."""
+
     def on_reply(self, now: float, latency: float) -> None:
         """Give back a place after a reply; `latency` is in seconds."""
 
@@ -26,7 +64,7 @@
         """Give back a place after a cancellation, `age` seconds after sending."""
 
 
-class Policy(typing.Protocol):
+class Policy(Observer, typing.Protocol):
     """Decides for all services; the process owns one."""
 
     def apply(self, now: float, current: catalog.Catalog) -> None:
@@ -49,6 +87,9 @@
     def connections(self, target: catalog.Target) -> int:
         """Return the largest number of connections to open to a target."""
 
+    def queue_rule(self, service: str) -> QueueRule:
+        """Return how sub-requests of a service wait."""
+
 
 class OpenGate:
     """Lets every attempt start at once."""
@@ -61,6 +102,10 @@
         """Return None, since no attempt ever waits."""
         return None
 
+    def expected_latency(self) -> float:
+        """Return 0, since nothing is measured."""
+        return 0.0
+
     def on_reply(self, now: float, latency: float) -> None:
         """Ignore the reply."""
 
@@ -112,3 +157,21 @@
     def connections(self, target: catalog.Target) -> int:
         """Return an equal share of the target's connection limit."""
         return max(1, target.settings.connections // self._instances_max)
+
+    def queue_rule(self, service: str) -> QueueRule:
+        """Return the default rule; nothing waits at an open gate."""
+        return QueueRule()
+
+    def on_submitted(self, now: float, attempt: model.Attempt) -> None:
+        """Ignore the attempt."""
+
+    def on_reply(self, now: float, attempt: model.Attempt, latency: float) -> None:
+        """Ignore the reply."""
+
+    def on_failure(
+        self, now: float, attempt: model.Attempt, failure: model.AttemptFailure
+    ) -> None:
+        """Ignore the failure."""
+
+    def on_cancelled(self, now: float, attempt: model.Attempt, age: float) -> None:
+        """Ignore the cancellation."""
