Put the gate, the queue and the statistics into the path of a sub-request

Cause: attempts went straight to the pool, so neither limits nor measurements applied, and aborting a connection after a mismatched reply could drop the next request that already used it, since the pool got it back first. Change: process/channel.py queues and paces, process/submission.py carries one attempt and returns its connection only after checking the reply; the pool keeps a spare connection, refuses all who wait when a lone connect fails, and never takes back a busy connection. A request whose catalog names a removed target gets a failure instead of a KeyError. Conclusion: each attempt is reported exactly once when it begins and once when it ends.

--- a/jackdawpass/connection/exchange.py
+++ b/jackdawpass/connection/exchange.py
@@ -27,9 +27,6 @@
 class Owner(typing.Protocol):
     """Receives a connection's changes of state."""
 
-    def on_idle(self, exchange: "Exchange") -> None:
-        """Take back a connection whose reply is complete."""
-
     def on_closed(self, exchange: "Exchange") -> None:
         """Forget a connection that is closed."""
 
@@ -55,8 +52,17 @@
         """True while a reply is outstanding."""
         return self._on_done is not None
 
+    @property
+    def open(self) -> bool:
+        """True until the connection is closed or about to close."""
+        return not self._closed
+
     def send(self, request: bytes, on_done: OnDone) -> None:
-        """Write a request; `on_done` is called exactly once unless aborted."""
+        """Write a request; `on_done` is called exactly once unless aborted.
+
+        When `on_done` is called the connection is open only if it can be reused; who
+        sent the request then returns it to the pool or aborts it.
+        """
         if self._on_done is not None or self._closed:
             raise RuntimeError("the connection is not idle; take another one")
         self._on_done = on_done
@@ -113,9 +119,7 @@
         too_large = self._body_bytes > MAX_REPLY_BYTES
         reusable = self._parser.should_keep_alive() and not self._closed
         self._reset()
-        if reusable and not too_large:
-            self._owner.on_idle(self)
-        else:
+        if not reusable or too_large:
             self._close()
         on_done(Loss.TOO_LARGE if too_large else reply)
 
--- a/jackdawpass/connection/pool.py
+++ b/jackdawpass/connection/pool.py
@@ -8,7 +8,8 @@
 
 from jackdawpass.connection import exchange
 
-CONNECT_TIMEOUT_SECONDS = 1.0
+# A connect takes 6 ms; a target that needs longer than this is taken for lost.
+CONNECT_TIMEOUT_SECONDS = 0.3
 
 OnConnection = collections.abc.Callable[[exchange.Exchange | None], None]
 
@@ -26,6 +27,9 @@
 class Pool:
     """Keeps at most `limit` connections to a target, opening and idle ones included.
 
+    A spare connection is opened when traffic takes the last idle one, and another
+    when one in recent use is lost, so that few requests wait for a connect.
+
     Parameters
     ----------
     reactor : IReactorTCP
@@ -61,64 +65,90 @@
     def set_limit(self, limit: int) -> None:
         """Change the largest number of connections; surplus idle ones close."""
         self._limit = limit
-        while self.size > limit and self._idle:
-            self._discard(self._idle.popleft())
+        surplus = self.size - limit
+        while surplus > 0 and self._idle:
+            self._idle.popleft().abort()
+            surplus -= 1
+        self._open_more()
 
     def acquire(self, on_connection: OnConnection) -> None:
         """Call back with an idle connection, or with None when none can be opened."""
-        while self._idle:
-            connection = self._idle.pop()
-            if connection in self._open:
-                on_connection(connection)
-                return
-        self._waiting.append(on_connection)
-        self._open_more()
+        connection = self.take_idle()
+        if connection is None:
+            self._waiting.append(on_connection)
+            self._open_more()
+            return
+        if not self._idle:
+            self._open_spare()
+        on_connection(connection)
 
-    def close(self) -> None:
-        """Close idle connections and refuse new ones; busy ones close when idle."""
-        self._closed = True
+    def take_idle(self) -> exchange.Exchange | None:
+        """Take an idle connection if there is one; open none."""
         while self._idle:
-            self._discard(self._idle.popleft())
+            # The one used last is the least likely to be closed by the target.
+            connection = self._idle.pop()
+            if connection.open:
+                return connection
+        return None
 
-    def on_idle(self, connection: exchange.Exchange) -> None:
-        """Take back a connection whose reply is complete."""
-        if self._closed or self.size > self._limit:
-            self._discard(connection)
+    def release(self, connection: exchange.Exchange) -> None:
+        """Take back a connection whose reply is complete, or that carried nothing."""
+        if not connection.open:
+            return
+        if connection.busy:
+            raise RuntimeError("a busy connection cannot be reused; abort it instead")
+        if self.size > self._limit:
+            connection.abort()
         elif self._waiting:
             self._waiting.popleft()(connection)
+        elif self._closed:
+            connection.abort()
         else:
             self._idle.append(connection)
 
+    def close(self) -> None:
+        """Close connections as they become idle and nobody waits for them."""
+        self._closed = True
+        while self._idle:
+            self._idle.popleft().abort()
+
     def on_closed(self, connection: exchange.Exchange) -> None:
         """Forget a closed connection and open another for whoever waits."""
-        self._open.discard(connection)
-        if connection in self._idle:
+        was_idle = connection in self._idle
+        if was_idle:
             self._idle.remove(connection)
-        self._open_more()
-
-    def _discard(self, connection: exchange.Exchange) -> None:
         self._open.discard(connection)
-        connection.abort()
+        self._open_more()
+        if not was_idle and not self._idle and not self._connecting:
+            self._open_spare()
 
     def _open_more(self) -> None:
-        if self._closed:
-            self._refuse_waiting()
-            return
         while self._connecting < len(self._waiting) and self.size < self._limit:
-            self._connecting += 1
-            connecting = self._endpoint.connect(self._factory)
-            connecting.addCallbacks(self._connected, self._connect_failed)
+            self._connect()
+
+    def _open_spare(self) -> None:
+        if not self._closed and not self._connecting and self.size < self._limit:
+            self._connect()
+
+    def _connect(self) -> None:
+        self._connecting += 1
+        connecting = self._endpoint.connect(self._factory)
+        connecting.addCallbacks(self._connected, self._connect_failed)
 
     def _connected(self, connected: typing.Any) -> None:
         self._connecting -= 1
         self._open.add(connected)
-        self.on_idle(connected)
+        self.release(connected)
 
     def _connect_failed(self, reason: object) -> None:
         self._connecting -= 1
-        if self._waiting:
-            self._waiting.popleft()(None)
+        if self._open:
+            self._open_more()
+            return
+        # No connection is left to wait for, and the next connect would fail as well.
+        self._refuse_waiting()
 
     def _refuse_waiting(self) -> None:
-        while self._waiting:
-            self._waiting.popleft()(None)
+        refused, self._waiting = self._waiting, collections.deque()
+        for on_connection in refused:
+            on_connection(None)
--- a/jackdawpass/process/adaptive.py
+++ b/jackdawpass/process/adaptive.py
@@ -151,6 +151,11 @@
             return policy.QueueRule()
         return policy.QueueRule(state.settings.priority, state.settings.max_queue)
 
+    def expected_latency(self, target: str) -> float:
+        """Return a target's recent latency in seconds; 0 when unknown."""
+        gate = self._limiters.get(target)
+        return 0.0 if gate is None else gate.expected_latency()
+
     def on_submitted(self, now: float, attempt: model.Attempt) -> None:
         """Note an attempt that was handed to its target's channel."""
         replica = self._replica(attempt)
--- a/jackdawpass/process/channel.py
+++ b/jackdawpass/process/channel.py
@@ -3,111 +3,162 @@
 import typing
 
 from jackdawpass import clock
-from jackdawpass.connection import dialect, exchange, pool
+from jackdawpass.connection import dialect, pool
+from jackdawpass.process import policy, submission, waiting
 from jackdawpass.request import model, runner
 
-_CONNECT_FAILED = model.AttemptFailure(
-    model.FailureKind.CONNECT_FAILED, model.Execution.NOT_SENT
-)
-_LOST = model.AttemptFailure(
-    model.FailureKind.CONNECTION_LOST, model.Execution.MAY_HAVE_RUN
-)
-_MISMATCHED = model.AttemptFailure(
-    model.FailureKind.MISMATCHED_REPLY, model.Execution.MAY_HAVE_RUN
-)
-_EXPIRED = model.AttemptFailure(
-    model.FailureKind.QUEUE_EXPIRED, model.Execution.NOT_SENT
-)
-
-
-class Submission:
-    """One attempt on its way through a channel."""
-
-    def __init__(
-        self,
-        attempt: model.Attempt,
-        query: bytes,
-        listener: runner.Listener,
-        wire: dialect.TargetDialect,
-    ) -> None:
-        self._attempt = attempt
-        self._query = query
-        self._listener = listener
-        self._wire = wire
-        self._connection: exchange.Exchange | None = None
-        self._cancelled = False
-
-    def cancel(self) -> None:
-        """Withdraw the attempt; an exchange under way closes its connection."""
-        self._cancelled = True
-        if self._connection is not None:
-            self._connection.abort()
-            self._connection = None
-
-    def on_connection(
-        self, owner: pool.Pool, connection: exchange.Exchange | None
-    ) -> None:
-        """Send the attempt on a connection, unless it is no longer wanted."""
-        if connection is None:
-            self._fail_unless_cancelled(_CONNECT_FAILED)
-            return
-        remaining = self._attempt.deadline - clock.monotonic()
-        if self._cancelled or remaining <= 0:
-            owner.on_idle(connection)
-            self._fail_unless_cancelled(_EXPIRED)
-            return
-        self._connection = connection
-        request = self._wire.encode_run(self._attempt, remaining, self._query)
-        connection.send(request, self._on_done)
-        self._listener.on_sent(self._attempt.attempt_id)
-
-    def _on_done(self, outcome: dialect.HttpReply | exchange.Loss) -> None:
-        connection, self._connection = self._connection, None
-        if self._cancelled:
-            return
-        if isinstance(outcome, exchange.Loss):
-            self._fail_unless_cancelled(_LOST)
-            return
-        decoded = self._wire.decode_run(self._attempt, outcome)
-        reply = decoded.value_or(None)
-        if reply is not None:
-            self._listener.on_reply(self._attempt.attempt_id, reply)
-            return
-        failure = decoded.failure()
-        if failure.kind is model.FailureKind.MISMATCHED_REPLY and connection:
-            # A connection that carried another exchange's reply is out of step.
-            connection.abort()
-        self._fail_unless_cancelled(failure)
+MIN_WAKE_SECONDS = 0.0005
 
-    def _fail_unless_cancelled(self, failure: model.AttemptFailure) -> None:
-        if not self._cancelled:
-            self._listener.on_failure(self._attempt.attempt_id, failure)
+_QUEUE_FULL = model.AttemptFailure(
+    model.FailureKind.QUEUE_FULL, model.Execution.NOT_SENT
+)
 
 
 class Channel:
-    """Sends attempts to one target over its pool of connections."""
+    """Queues attempts to one target and starts them as its gate permits.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Sets the timer for paced starts and expiry.
+    target : str
+        Name of the target.
+    wire : TargetDialect
+        Encodes sub-requests and decodes replies.
+    connections : Pool
+        Connections to the target.
+    gate : Gate
+        Concurrency limit of the target.
+    decisions : Policy
+        Says how attempts wait, and sees each one's begin and end.
+    """
 
     def __init__(
         self,
         reactor: typing.Any,
+        target: str,
         wire: dialect.TargetDialect,
-        host: str,
-        port: int,
-        connections: int,
+        connections: pool.Pool,
+        gate: policy.Gate,
+        decisions: policy.Policy,
     ) -> None:
+        self._reactor = reactor
+        self._target = target
         self._wire = wire
-        self._pool = pool.Pool(reactor, host, port, connections)
+        self._pool = connections
+        self._gate = gate
+        self._policy = decisions
+        self._queue: waiting.WaitingQueue[submission.Submission] = (
+            waiting.WaitingQueue()
+        )
+        self._timer: typing.Any = None
+
+    @property
+    def waiting(self) -> int:
+        """Number of attempts that wait for the gate."""
+        return len(self._queue)
 
     def submit(
         self, attempt: model.Attempt, query: bytes, listener: runner.Listener
-    ) -> Submission:
-        """Send an attempt as soon as a connection is free."""
-        submission = Submission(attempt, query, listener, self._wire)
-        self._pool.acquire(
-            lambda connection: submission.on_connection(self._pool, connection)
+    ) -> submission.Submission:
+        """Start an attempt, queue it, or refuse it when the queue is full."""
+        now = clock.monotonic()
+        new = submission.Submission(
+            attempt, query, listener, self._wire, self._pool, self
         )
-        return submission
+        self._policy.on_submitted(now, attempt)
+        if not len(self._queue) and self._gate.try_start(now):
+            new.start()
+        else:
+            self._enqueue(now, new)
+        return new
+
+    def set_connections(self, limit: int) -> None:
+        """Change the largest number of connections to the target."""
+        self._pool.set_limit(limit)
 
     def close(self) -> None:
         """Close the connections as they become idle."""
         self._pool.close()
+
+    def on_end(
+        self,
+        now: float,
+        ended: submission.Submission,
+        end: submission.End,
+        was_started: bool,
+    ) -> None:
+        """Report the end of an attempt and start those that wait."""
+        if ended.place is not None:
+            self._queue.remove(ended.place)
+        if was_started:
+            self._give_back(now, end)
+        self._report(now, ended.attempt, end)
+        self._start_waiting(now)
+
+    def _enqueue(self, now: float, new: submission.Submission) -> None:
+        rule = self._policy.queue_rule(new.attempt.service)
+        admission = self._queue.push(
+            new, rule.priority, new.attempt.deadline, rule.max_queue
+        )
+        new.place = admission.place
+        if new.place is None:
+            new.fail(_QUEUE_FULL)
+            return
+        if admission.displaced is not None:
+            admission.displaced.fail(_QUEUE_FULL)
+        self._start_waiting(now)
+
+    def _start_waiting(self, now: float) -> None:
+        if len(self._queue):
+            needed = self._policy.expected_latency(self._target)
+            for expired in self._queue.pop_expired(now + needed):
+                expired.fail(submission.EXPIRED)
+        while len(self._queue) and self._gate.try_start(now):
+            first = self._queue.pop()
+            assert first is not None
+            first.start()
+        self._set_timer(now)
+
+    def _give_back(self, now: float, end: submission.End) -> None:
+        match end:
+            case submission.Replied(latency):
+                self._gate.on_reply(now, latency)
+            case submission.Cancelled(age):
+                self._gate.on_cancelled(now, age)
+            case model.AttemptFailure():
+                self._gate.on_failure(now, end)
+
+    def _report(self, now: float, attempt: model.Attempt, end: submission.End) -> None:
+        match end:
+            case submission.Replied(latency):
+                self._policy.on_reply(now, attempt, latency)
+            case submission.Cancelled(age):
+                self._policy.on_cancelled(now, attempt, age)
+            case model.AttemptFailure():
+                self._policy.on_failure(now, attempt, end)
+
+    def _set_timer(self, now: float) -> None:
+        at = self._next_wake(now)
+        if at is None:
+            if self._timer is not None:
+                self._timer.cancel()
+                self._timer = None
+            return
+        delay = max(MIN_WAKE_SECONDS, at - now)
+        if self._timer is None:
+            self._timer = self._reactor.callLater(delay, self._on_timer)
+        else:
+            self._timer.reset(delay)
+
+    def _next_wake(self, now: float) -> float | None:
+        deadline = self._queue.earliest_deadline
+        if deadline is None:
+            return None
+        expiry = deadline - self._policy.expected_latency(self._target)
+        start = self._gate.next_start(now)
+        return expiry if start is None else min(expiry, start)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self._start_waiting(clock.monotonic())
--- a/jackdawpass/process/dispatcher.py
+++ b/jackdawpass/process/dispatcher.py
@@ -2,13 +2,24 @@
 
 import typing
 
-from jackdawpass.connection import dialect
+from jackdawpass.connection import dialect, pool
 from jackdawpass.process import channel, policy
 from jackdawpass.request import model, runner
 from jackdawpass.version import catalog
 
 _Address = tuple[str, int]
 
+_REMOVED = model.AttemptFailure(
+    model.FailureKind.CONNECT_FAILED, model.Execution.NOT_SENT
+)
+
+
+class _Ended:
+    """Ticket of an attempt that ended at once."""
+
+    def cancel(self) -> None:
+        """Do nothing."""
+
 
 class Dispatcher:
     """Hands attempts to the channel of their target.
@@ -43,12 +54,27 @@
         for name, target in wanted.items():
             if name not in self._channels:
                 self._open(name, target)
+        self.resize(current)
 
     def submit(
         self, attempt: model.Attempt, query: bytes, listener: runner.Listener
     ) -> runner.Ticket:
         """Queue an attempt for its target."""
-        return self._channels[attempt.target].submit(attempt, query, listener)
+        channel_to_target = self._channels.get(attempt.target)
+        if channel_to_target is None:
+            # A request keeps the catalog it started with, which may name a target
+            # that the current one no longer has.
+            listener.on_failure(attempt.attempt_id, _REMOVED)
+            return _Ended()
+        return channel_to_target.submit(attempt, query, listener)
+
+    def resize(self, current: catalog.Catalog) -> None:
+        """Apply the present shares of the targets' connection limits."""
+        for service in current.services.values():
+            for name, target in service.targets.items():
+                if name in self._channels:
+                    share = self._policy.connections(target)
+                    self._channels[name].set_connections(share)
 
     def close(self) -> None:
         """Close all channels as their connections become idle."""
@@ -59,8 +85,14 @@
         settings = target.settings
         share = self._policy.connections(target)
         self._addresses[name] = _address(target)
+        connections = pool.Pool(self._reactor, settings.host, settings.port, share)
         self._channels[name] = channel.Channel(
-            self._reactor, self._wire, settings.host, settings.port, share
+            self._reactor,
+            name,
+            self._wire,
+            connections,
+            self._policy.gate(target),
+            self._policy,
         )
 
 
--- a/jackdawpass/process/policy.py
+++ b/jackdawpass/process/policy.py
@@ -51,9 +51,6 @@
     def next_start(self, now: float) -> float | None:
         """Return when to ask again; None when only the end of an attempt helps."""
 
-    def expected_latency(self) -> float:
-        """Return the recent latency in seconds; 0 when unknown."""
-
     def on_reply(self, now: float, latency: float) -> None:
         """Give back a place after a reply; `latency` is in seconds."""
 
@@ -90,6 +87,9 @@
     def queue_rule(self, service: str) -> QueueRule:
         """Return how sub-requests of a service wait."""
 
+    def expected_latency(self, target: str) -> float:
+        """Return a target's recent latency in seconds; 0 when unknown."""
+
 
 class OpenGate:
     """Lets every attempt start at once."""
@@ -102,10 +102,6 @@
         """Return None, since no attempt ever waits."""
         return None
 
-    def expected_latency(self) -> float:
-        """Return 0, since nothing is measured."""
-        return 0.0
-
     def on_reply(self, now: float, latency: float) -> None:
         """Ignore the reply."""
 
@@ -116,7 +112,33 @@
         """Ignore the cancellation."""
 
 
-class PlainPolicy:
+class Unobserving:
+    """Base of policies that learn nothing from attempts."""
+
+    def queue_rule(self, service: str) -> QueueRule:
+        """Return the same rule for all services."""
+        return QueueRule()
+
+    def expected_latency(self, target: str) -> float:
+        """Return 0, since nothing is measured."""
+        return 0.0
+
+    def on_submitted(self, now: float, attempt: model.Attempt) -> None:
+        """Ignore the attempt."""
+
+    def on_reply(self, now: float, attempt: model.Attempt, latency: float) -> None:
+        """Ignore the reply."""
+
+    def on_failure(
+        self, now: float, attempt: model.Attempt, failure: model.AttemptFailure
+    ) -> None:
+        """Ignore the failure."""
+
+    def on_cancelled(self, now: float, attempt: model.Attempt, age: float) -> None:
+        """Ignore the cancellation."""
+
+
+class PlainPolicy(Unobserving):
     """Zone-local routing with a retry budget, without hedges or limits.
 
     Parameters
@@ -157,21 +179,3 @@
     def connections(self, target: catalog.Target) -> int:
         """Return an equal share of the target's connection limit."""
         return max(1, target.settings.connections // self._instances_max)
-
-    def queue_rule(self, service: str) -> QueueRule:
-        """Return the default rule; nothing waits at an open gate."""
-        return QueueRule()
-
-    def on_submitted(self, now: float, attempt: model.Attempt) -> None:
-        """Ignore the attempt."""
-
-    def on_reply(self, now: float, attempt: model.Attempt, latency: float) -> None:
-        """Ignore the reply."""
-
-    def on_failure(
-        self, now: float, attempt: model.Attempt, failure: model.AttemptFailure
-    ) -> None:
-        """Ignore the failure."""
-
-    def on_cancelled(self, now: float, attempt: model.Attempt, age: float) -> None:
-        """Ignore the cancellation."""
--- a/jackdawpass/process/replicas.py
+++ b/jackdawpass/process/replicas.py
@@ -11,12 +11,19 @@
 # Without traffic an old latency loses its weight, so that a slow target is tried again.
 LATENCY_FADES_SECONDS = 10.0
 DEFAULT_LATENCY_SECONDS = 0.001
+# Differences under this are scheduling noise on small machines.
+LATENCY_SLACK_SECONDS = 0.002
 
 FAILURES_TO_EJECT = 3
 MAX_EJECTED_SHARE = 0.5
 EJECTION_SECONDS = 1.0
 MAX_EJECTION_SECONDS = 30.0
 
+# A target that stalls sends no reply to measure; its attempts are cancelled when a
+# hedge wins.
+UNANSWERED_TO_EJECT = 5
+UNANSWERED_RATIO = 3.0
+
 OUTLIER_RATIO = 5.0
 OUTLIER_SLACK_SECONDS = 0.020
 OUTLIER_MIN_SAMPLES = 20
@@ -58,6 +65,7 @@
         self._samples = 0
         self._in_flight = 0
         self._failures = 0
+        self._unanswered = 0
         self._ejections = 0
         self._ejected_until: float | None = None
         self._probing = False
@@ -77,11 +85,6 @@
         """True from an ejection until a probe succeeds."""
         return self._ejected_until is not None
 
-    @property
-    def probing(self) -> bool:
-        """True while a probe of an ejected target is in flight."""
-        return self._probing
-
     def draining(self, now: float) -> bool:
         """Return True while the target must get no new work."""
         if now + DRAINING_SECONDS < self._draining_until:
@@ -154,17 +157,26 @@
         """Note a reply; it ends an ejection."""
         self._end()
         self._failures = 0
+        self._unanswered = 0
         self._observe(now, latency)
         # A slow reply from before the ejection is no probe.
         if self._ejected_until is not None and now >= self._ejected_until:
             self._ejected_until = None
             self._started = now
 
-    def on_cancelled(self, now: float, age: float) -> None:
-        """Note a cancelled attempt; its latency would have been at least `age`."""
+    def on_cancelled(self, now: float, age: float, typical: float) -> bool:
+        """Note a cancelled attempt; return True when the target should be ejected.
+
+        The latency would have been at least `age`. Several such attempts in a row
+        without a reply, or a probe that takes far too long, count as a failure.
+        """
+        slow_probe = self._probing and age > _outlier_limit(typical)
         self._end()
         if self._latency is not None and age > self._latency:
             self._observe(now, age)
+        if age > UNANSWERED_RATIO * typical + LATENCY_SLACK_SECONDS:
+            self._unanswered += 1
+        return slow_probe or self._unanswered >= UNANSWERED_TO_EJECT
 
     def on_failure(self, now: float, failure: model.AttemptFailure) -> bool:
         """Note a failure; return True when the target should be ejected."""
@@ -187,6 +199,7 @@
         self._ejected_until = now + min(doubled, MAX_EJECTION_SECONDS)
         self._ejections += 1
         self._failures = 0
+        self._unanswered = 0
         # A probe is compared anew; the old latency would eject it again.
         self._latency = None
         self._samples = 0
@@ -250,11 +263,7 @@
     def on_cancelled(self, now: float, name: str, age: float) -> None:
         """Note a cancellation; a probe that was far too slow has failed."""
         replica = self._replicas.get(name)
-        if replica is None:
-            return
-        failed_probe = replica.probing and age > _outlier_limit(self._typical)
-        replica.on_cancelled(now, age)
-        if failed_probe:
+        if replica is not None and replica.on_cancelled(now, age, self._typical):
             self._eject(now, replica)
 
     def on_failure(self, now: float, name: str, failure: model.AttemptFailure) -> None:
@@ -282,6 +291,9 @@
                 self._eject(now, each)
 
     def _eject(self, now: float, replica: Replica) -> None:
+        if replica.ejected and not replica.usable(now):
+            # Attempts from before the ejection fail during it; they are no new news.
+            return
         ejected = sum(each.ejected for each in self._replicas.values())
         if not replica.ejected:
             ejected += 1
--- /dev/null
+++ b/jackdawpass/process/submission.py
@@ -0,0 +1,151 @@
+"""One attempt on its way to a target, from the queue to its end."""
+
+import dataclasses
+import enum
+import typing
+
+from jackdawpass import clock
+from jackdawpass.connection import dialect, exchange, pool
+from jackdawpass.process import waiting
+from jackdawpass.request import model, runner
+
+_CONNECT_FAILED = model.AttemptFailure(
+    model.FailureKind.CONNECT_FAILED, model.Execution.NOT_SENT
+)
+_LOST = model.AttemptFailure(
+    model.FailureKind.CONNECTION_LOST, model.Execution.MAY_HAVE_RUN
+)
+EXPIRED = model.AttemptFailure(
+    model.FailureKind.QUEUE_EXPIRED, model.Execution.NOT_SENT
+)
+
+
+class _State(enum.Enum):
+    QUEUED = "queued"
+    CONNECTING = "connecting"
+    SENT = "sent"
+    ENDED = "ended"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replied:
+    """The target replied, `latency` seconds after sending."""
+
+    latency: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancelled:
+    """The attempt was withdrawn, `age` seconds after sending; 0 when not sent."""
+
+    age: float
+
+
+End = Replied | Cancelled | model.AttemptFailure
+
+
+class Owner(typing.Protocol):
+    """The channel that a submission belongs to."""
+
+    def on_end(
+        self, now: float, ended: "Submission", end: End, was_started: bool
+    ) -> None:
+        """Note the end, before the listener hears of it; called exactly once."""
+
+
+class Submission:
+    """One attempt; its listener hears of its end unless it was cancelled."""
+
+    def __init__(
+        self,
+        attempt: model.Attempt,
+        query: bytes,
+        listener: runner.Listener,
+        wire: dialect.TargetDialect,
+        connections: pool.Pool,
+        owner: Owner,
+    ) -> None:
+        self._attempt = attempt
+        self._query = query
+        self._listener = listener
+        self._wire = wire
+        self._pool = connections
+        self._owner = owner
+        self._connection: exchange.Exchange | None = None
+        self._state = _State.QUEUED
+        self._sent_at = 0.0
+        self.place: waiting.Place | None = None
+
+    @property
+    def attempt(self) -> model.Attempt:
+        """The attempt."""
+        return self._attempt
+
+    def start(self) -> None:
+        """Send the attempt as soon as a connection is free."""
+        self._state = _State.CONNECTING
+        self._pool.acquire(self._on_connection)
+
+    def fail(self, failure: model.AttemptFailure) -> None:
+        """End with a failure and tell the listener."""
+        self._end(failure)
+        self._listener.on_failure(self._attempt.attempt_id, failure)
+
+    def cancel(self) -> None:
+        """Withdraw the attempt; an exchange under way closes its connection."""
+        if self._state is _State.ENDED:
+            return
+        age = 0.0
+        if self._connection is not None:
+            # A reply may still arrive on it, which must not reach another request.
+            age = clock.monotonic() - self._sent_at
+            self._connection.abort()
+            self._connection = None
+        self._end(Cancelled(age))
+
+    def _on_connection(self, connection: exchange.Exchange | None) -> None:
+        if self._state is _State.ENDED:
+            if connection is not None:
+                self._pool.release(connection)
+            return
+        if connection is None:
+            self.fail(_CONNECT_FAILED)
+            return
+        now = clock.monotonic()
+        remaining = self._attempt.deadline - now
+        if remaining <= 0:
+            self._pool.release(connection)
+            self.fail(EXPIRED)
+            return
+        self._state = _State.SENT
+        self._sent_at = now
+        self._connection = connection
+        request = self._wire.encode_run(self._attempt, remaining, self._query)
+        connection.send(request, self._on_done)
+        self._listener.on_sent(self._attempt.attempt_id)
+
+    def _on_done(self, outcome: dialect.HttpReply | exchange.Loss) -> None:
+        connection, self._connection = self._connection, None
+        assert connection is not None
+        if isinstance(outcome, exchange.Loss):
+            self.fail(_LOST)
+            return
+        decoded = self._wire.decode_run(self._attempt, outcome)
+        reply = decoded.value_or(None)
+        if reply is not None:
+            self._pool.release(connection)
+            self._end(Replied(clock.monotonic() - self._sent_at))
+            self._listener.on_reply(self._attempt.attempt_id, reply)
+            return
+        failure = decoded.failure()
+        if failure.kind is model.FailureKind.MISMATCHED_REPLY:
+            # A connection that carried another exchange's reply is out of step.
+            connection.abort()
+        else:
+            self._pool.release(connection)
+        self.fail(failure)
+
+    def _end(self, end: End) -> None:
+        was_started = self._state is not _State.QUEUED
+        self._state = _State.ENDED
+        self._owner.on_end(clock.monotonic(), self, end, was_started)
