Claim non-idempotent requests and test the fan-out against a model

Cause: nothing stopped a repeat on another instance from running twice, and the fan-out had no test of its promises. Change: claims in the platform's store under the Idempotency-Key, recorded outcomes, a hypothesis state machine that compares the fan-out with a naive model. Found by it: a reply or failure that arrived without a preceding on_sent was not counted as run, so not_run could be untrue; both now count.

--- a/jackdawpass/process/entry.py
+++ b/jackdawpass/process/entry.py
@@ -1,5 +1,6 @@
 """One entry instance: wires the parts that live for the process."""
 
+import dataclasses
 import typing
 
 from twisted.internet import defer
@@ -7,7 +8,16 @@
 from jackdawpass import clock
 from jackdawpass.connection import dialect, platform_api
 from jackdawpass.process import control, dispatcher, http_api, policy, settings
-from jackdawpass.request import fanout, machine, model, problems, runner, single_run
+from jackdawpass.request import (
+    claimed_run,
+    claims,
+    fanout,
+    machine,
+    model,
+    problems,
+    runner,
+    single_run,
+)
 from jackdawpass.version import catalog
 
 
@@ -76,20 +86,31 @@
         service: str,
         query: model.QueryRequest,
         idempotency_key: str | None,
-        on_finish: runner.OnFinish,
+        on_finish: claimed_run.OnFinish,
     ) -> http_api.RunningQuery:
         """Run a query; `on_finish` is called once, possibly before returning."""
-        now = clock.monotonic()
-        states = self._make_states(now, request_id, service, query)
-        if isinstance(states, problems.Problem):
-            on_finish(states)
+        prepared = self._prepare(clock.monotonic(), request_id, service, query)
+        if isinstance(prepared, problems.Problem):
+            on_finish(prepared)
             return _Refused()
-        encoded = self._wire.encode_query(query.query)
-        running = runner.Runner(
-            self._reactor, states, self._dispatcher, encoded, on_finish
+        if query.idempotent or idempotency_key is None:
+            return self._start_run(prepared, query, on_finish)
+        problem = claims.check_key(idempotency_key)
+        if problem is not None:
+            on_finish(problem)
+            return _Refused()
+        claimed = claimed_run.ClaimedRun(
+            self._reactor,
+            self._platform,
+            claims.object_key(service, idempotency_key),
+            request_id,
+            claims.fingerprint(query),
+            prepared.plan.deadline,
+            lambda finish: self._start_run(prepared, query, finish, recorded=True),
+            on_finish,
         )
-        running.start()
-        return running
+        claimed.start()
+        return claimed
 
     def published_after(
         self, service: str, snapshot: str
@@ -111,9 +132,36 @@
         self._policy.apply(clock.monotonic(), current)
         self._dispatcher.apply(current)
 
+    def _start_run(
+        self,
+        prepared: "_Prepared",
+        query: model.QueryRequest,
+        on_finish: runner.OnFinish,
+        recorded: bool = False,
+    ) -> runner.Runner:
+        states = self._make_states(prepared, query.idempotent, recorded)
+        encoded = self._wire.encode_query(query.query)
+        running = runner.Runner(
+            self._reactor, states, self._dispatcher, encoded, on_finish
+        )
+        running.start()
+        return running
+
     def _make_states(
+        self, prepared: "_Prepared", idempotent: bool, recorded: bool
+    ) -> machine.Machine:
+        service = prepared.service
+        router = self._policy.router(service, prepared.shard_map)
+        budget = self._policy.budget(service)
+        if not idempotent:
+            return single_run.SingleRun(prepared.plan, router, budget, recorded)
+        hedging = self._policy.hedging(service)
+        source = _Source(self, service.name)
+        return fanout.Fanout(prepared.plan, router, hedging, budget, source)
+
+    def _prepare(
         self, now: float, request_id: str, name: str, query: model.QueryRequest
-    ) -> machine.Machine | problems.Problem:
+    ) -> "_Prepared | problems.Problem":
         if self._catalog is None:
             return problems.not_run(
                 problems.ProblemKind.NO_CONFIGURATION,
@@ -134,13 +182,16 @@
                 1.0,
             )
         plan = _make_plan(now, request_id, service, shard_map, query)
-        router = self._policy.router(service, shard_map)
-        budget = self._policy.budget(service)
-        if not query.idempotent:
-            return single_run.SingleRun(plan, router, budget)
-        source = _Source(self, name)
-        hedging = self._policy.hedging(service)
-        return fanout.Fanout(plan, router, hedging, budget, source)
+        return _Prepared(service, shard_map, plan)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Prepared:
+    """A query with what the catalog of its start declares for it."""
+
+    service: catalog.Service
+    shard_map: catalog.ShardMap
+    plan: model.QueryPlan
 
 
 class _Source:
--- a/jackdawpass/process/http_api.py
+++ b/jackdawpass/process/http_api.py
@@ -13,7 +13,8 @@
 NOT_DONE = server.NOT_DONE_YET
 IDEMPOTENCY_HEADER = "Idempotency-Key"
 
-Outcome = model.Answer | problems.Problem
+Outcome = model.Answer | problems.Problem | model.RecordedAnswer
+REPLAYED_HEADER = "Idempotency-Replayed"
 
 
 class RunningQuery(typing.Protocol):
@@ -130,6 +131,9 @@
             return
         if isinstance(outcome, problems.Problem):
             body = _render_problem(self._request, self._request_id, outcome)
+        elif isinstance(outcome, model.RecordedAnswer):
+            self._request.setHeader(REPLAYED_HEADER, "true")
+            body = _render(self._request, 200, outcome.document)
         else:
             elapsed = clock.monotonic() - self._started
             document = problems.answer_document(outcome, elapsed)
--- a/jackdawpass/request/fanout.py
+++ b/jackdawpass/request/fanout.py
@@ -103,6 +103,7 @@
         self, now: float, attempt_id: int, reply: model.SubReply
     ) -> machine.Actions:
         """Take a reply; replies to attempts no longer outstanding are ignored."""
+        self._may_have_run.add(attempt_id)
         if self._finished or attempt_id not in self._outstanding:
             return ()
         if reply.snapshot != self._plan.snapshot:
@@ -124,7 +125,9 @@
         self, now: float, attempt_id: int, failure: model.AttemptFailure
     ) -> machine.Actions:
         """Retry the shards of a failed attempt elsewhere within the budget."""
-        if failure.execution is not model.Execution.MAY_HAVE_RUN:
+        if failure.execution is model.Execution.MAY_HAVE_RUN:
+            self._may_have_run.add(attempt_id)
+        else:
             self._may_have_run.discard(attempt_id)
         if self._finished or attempt_id not in self._outstanding:
             return ()
--- a/jackdawpass/request/model.py
+++ b/jackdawpass/request/model.py
@@ -5,6 +5,8 @@
 import enum
 import typing
 
+JsonObject = dict[str, typing.Any]
+
 
 class Outcome(enum.Enum):
     """What a caller may assume about a request that has no answer."""
@@ -187,6 +189,13 @@
         return self.coverage.covered == self.coverage.shards
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordedAnswer:
+    """The answer document that an earlier run under the same key recorded."""
+
+    document: JsonObject
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueryPlan:
     """What one fan-out has to do.
@@ -211,6 +220,3 @@
     min_coverage: float
     early_after: float | None = None
     early_coverage: float = 1.0
-
-
-JsonObject = dict[str, typing.Any]
--- /dev/null
+++ b/tests/failures/__init__.py
@@ -0,0 +1,1 @@
+"""Failures induced on real processes, one module per promise."""
