Learn the unloaded latency of a target from averages

Cause: the first sample alone started the averages, so one fast reply gave an instance a base latency of a quarter of its peers' and starved it. Change: the averages start as plain means, the base follows a slower average after 10 samples, and the limit starts at 0.25.

--- a/jackdawpass/process/limiter.py
+++ b/jackdawpass/process/limiter.py
@@ -4,8 +4,14 @@
 
 from jackdawpass.request import model
 
-INITIAL_LIMIT = 1.0
+# 20 instances that start together on a server of 2 slots then still see a latency near
+# the unloaded one.
+INITIAL_LIMIT = 0.25
 SHORT_WEIGHT = 0.1
+# The minimum of a noisy average is far below the mean and differs by instance, which
+# would give the instances of one target different limits.
+LONG_WEIGHT = 0.02
+MIN_SAMPLES = 10
 # Added to the tolerated latency: delays of the own event loop are no sign of load.
 LATENCY_SLACK_SECONDS = 0.002
 TOLERATED_RATIO = 2.0
@@ -17,6 +23,7 @@
 CLIP_RATIO = 8.0
 BASE_DRIFT_PER_SECOND = 0.01
 MAX_PAUSE_SECONDS = 1.0
+MIN_LATENCY_SECONDS = 1e-6
 
 
 class Limiter:
@@ -42,7 +49,9 @@
         self._limit = min(INITIAL_LIMIT, self._ceiling)
         self._limit = max(self._limit, floor)
         self._in_flight = 0
-        self._short: float | None = None
+        self._samples = 0
+        self._short = 0.0
+        self._long = 0.0
         self._base = math.inf
         self._last_sample = -math.inf
         self._last_start = -math.inf
@@ -67,7 +76,7 @@
 
     def expected_latency(self) -> float:
         """Return the recent latency in seconds; 0 when unknown."""
-        return 0.0 if self._short is None else self._short
+        return self._short
 
     def try_start(self, now: float) -> bool:
         """Take a place for one attempt; False when it has to wait."""
@@ -105,7 +114,7 @@
     def on_cancelled(self, now: float, age: float) -> None:
         """Give back a place; the latency is known to be at least `age`."""
         self._give_back()
-        if self._short is not None and age > self._short:
+        if self._samples and age > self._short:
             self._adapt(now, age)
 
     def _give_back(self) -> None:
@@ -121,9 +130,11 @@
         return self._last_start + min(pause, MAX_PAUSE_SECONDS)
 
     def _adapt(self, now: float, latency: float) -> None:
-        short = self._note(now, latency)
+        self._note(now, latency)
+        if self._samples < MIN_SAMPLES:
+            return
         tolerated = TOLERATED_RATIO * self._base + LATENCY_SLACK_SECONDS
-        gradient = min(1.0, max(MIN_GRADIENT, tolerated / short))
+        gradient = min(1.0, max(MIN_GRADIENT, tolerated / self._short))
         wanted = self._limit * gradient + HEADROOM * math.sqrt(self._limit)
         used = self._limited or self._in_flight + 1 > self._limit / 2
         self._limited = False
@@ -131,23 +142,23 @@
             return
         self._set_limit(self._limit + SMOOTHING * (wanted - self._limit))
 
-    def _note(self, now: float, latency: float) -> float:
-        latency = max(latency, 1e-6)
-        if self._short is None:
-            self._short = latency
-        else:
-            clipped = min(latency, CLIP_RATIO * self._base + LATENCY_SLACK_SECONDS)
-            self._short += SHORT_WEIGHT * (clipped - self._short)
-        elapsed = max(0.0, now - self._last_sample)
+    def _note(self, now: float, latency: float) -> None:
+        elapsed = now - self._last_sample
         self._last_sample = now
-        if math.isfinite(elapsed):
+        self._samples += 1
+        latency = max(latency, MIN_LATENCY_SECONDS)
+        clipped = min(latency, CLIP_RATIO * self._base + LATENCY_SLACK_SECONDS)
+        self._short += max(SHORT_WEIGHT, 1 / self._samples) * (clipped - self._short)
+        self._long += max(LONG_WEIGHT, 1 / self._samples) * (clipped - self._long)
+        if self._samples < MIN_SAMPLES:
+            return
+        if elapsed > 0:
             self._base *= 1 + BASE_DRIFT_PER_SECOND * elapsed
-        self._base = min(self._base, self._short)
+        self._base = min(self._base, self._long)
         if self._limit <= 2 * self._floor:
             # All instances at twice their floor keep at most twice the slots busy, so
             # at least half of this latency is the target's own.
             self._base = max(self._base, self._short / 2)
-        return self._short
 
     def _set_limit(self, limit: float) -> None:
         self._limit = min(self._ceiling, max(self._floor, limit))
