Reuse connections to targets after a reply

Cause: httptools answers should_keep_alive only inside on_message_complete and False afterwards, so every connection was closed after one exchange; a second reply in the same bytes was appended to the body of the first. Change: exchange.py keeps the answer and the status of the first reply, ignores a second one and closes the connection on any byte behind a reply. Conclusion: a query pays for a connect only when the pool has to grow.

--- a/jackdawpass/connection/exchange.py
+++ b/jackdawpass/connection/exchange.py
@@ -45,6 +45,8 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._complete = False
+        self._status = 0
+        self._keep_alive = False
         self._closed = False
 
     @property
@@ -99,8 +101,15 @@
         if on_done is not None:
             on_done(Loss.CONNECTION_LOST)
 
+    def on_message_begin(self) -> None:
+        """Note bytes after a complete reply, which answer no request of ours."""
+        if self._complete:
+            self._closed = True
+
     def on_body(self, body: bytes) -> None:
         """Collect body bytes (called by the parser)."""
+        if self._complete:
+            return
         self._body_bytes += len(body)
         if self._body_bytes <= MAX_REPLY_BYTES:
             self._body.append(body)
@@ -108,16 +117,18 @@
     def on_message_complete(self) -> None:
         """Mark the reply as complete (called by the parser)."""
         if self._complete:
-            # A second reply in the same bytes answers no request of ours.
-            self._closed = True
+            return
         self._complete = True
+        self._status = self._parser.get_status_code()
+        # The parser forgets the answer as soon as this callback returns.
+        self._keep_alive = self._parser.should_keep_alive()
 
     def _finish(self) -> None:
         on_done, self._on_done = self._on_done, None
         assert on_done is not None
-        reply = dialect.HttpReply(self._parser.get_status_code(), b"".join(self._body))
+        reply = dialect.HttpReply(self._status, b"".join(self._body))
         too_large = self._body_bytes > MAX_REPLY_BYTES
-        reusable = self._parser.should_keep_alive() and not self._closed
+        reusable = self._keep_alive and not self._closed
         self._reset()
         if not reusable or too_large:
             self._close()
--- /dev/null
+++ b/tests/connection/test_pool.py
@@ -0,0 +1,198 @@
+"""Tests of the pool of connections to one target."""
+
+import typing
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+from twisted.internet import error
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python import failure
+
+from jackdawpass.connection import dialect, exchange, pool
+
+REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+
+class Transport(StringTransport):
+    """Memory transport that reports an abort on `closed`."""
+
+    closed = False
+
+    def setTcpNoDelay(self, enabled: bool) -> None:
+        """Accept the option."""
+
+    def abortConnection(self) -> None:
+        """Note the abort; the loss is reported by the test, as a reactor would."""
+        self.closed = True
+
+
+class Network:
+    """Answers the connects of a pool."""
+
+    def __init__(self, limit: int) -> None:
+        self._reactor = MemoryReactorClock()
+        self.pool = pool.Pool(self._reactor, "127.0.0.1", 1, limit)
+        self.links: list[tuple[typing.Any, Transport]] = []
+        self.taken: list[exchange.Exchange | None] = []
+
+    @property
+    def pending(self) -> list[typing.Any]:
+        """Connects that are not answered."""
+        return self._reactor.tcpClients
+
+    def connect(self) -> Transport:
+        """Answer the oldest connect."""
+        protocol = self.pending.pop(0)[2].buildProtocol(None)
+        transport = Transport()
+        self.links.append((protocol, transport))
+        protocol.makeConnection(transport)
+        return transport
+
+    def refuse(self) -> None:
+        """Refuse the oldest connect."""
+        factory = self.pending.pop(0)[2]
+        factory.clientConnectionFailed(None, failure.Failure(error.ConnectError()))
+
+    def lose(self, position: int) -> None:
+        """Report the loss of a connection."""
+        protocol, transport = self.links.pop(position)
+        transport.closed = True
+        protocol.connectionLost(failure.Failure(error.ConnectionLost()))
+
+    def reap(self) -> None:
+        """Report the loss of aborted connections, as the reactor does later."""
+        for position in reversed(range(len(self.links))):
+            if self.links[position][1].closed:
+                self.lose(position)
+
+    def acquire(self) -> None:
+        """Ask for a connection."""
+        self.pool.acquire(self.taken.append)
+
+
+def test_keeps_a_spare_connection_and_reuses_it() -> None:
+    """Guards against a connect in the way of each request of a small burst."""
+    network = Network(limit=3)
+    network.acquire()
+    network.connect()
+    first = network.taken[0]
+    assert first is not None
+    network.pool.release(first)
+    network.acquire()
+    assert network.taken[1] is first
+    assert len(network.pending) == 1
+    network.connect()
+    network.acquire()
+    assert network.taken[2] is not None
+    assert network.pool.size <= 3
+
+
+def test_reopens_after_the_loss_of_a_busy_connection_only() -> None:
+    """Guards against a loop of connects to a target that closes idle ones."""
+    network = Network(limit=1)
+    network.acquire()
+    network.connect()
+    network.lose(0)
+    assert len(network.pending) == 1
+    network.connect()
+    assert network.pool.idle == 1
+    network.lose(0)
+    assert not network.pending
+
+
+def test_failed_connect_refuses_all_who_wait() -> None:
+    """Guards against requests that wait for a dead target until their deadline."""
+    network = Network(limit=1)
+    for _ in range(3):
+        network.acquire()
+    network.refuse()
+    assert network.taken == [None, None, None]
+    assert network.pool.size == 0
+
+
+def test_busy_connection_never_returns_to_the_pool() -> None:
+    """Guards against a late reply that reaches the next request."""
+    network = Network(limit=1)
+    network.acquire()
+    network.connect()
+    connection = network.taken[0]
+    assert connection is not None
+    connection.send(b"request", lambda outcome: None)
+    with pytest.raises(RuntimeError):
+        network.pool.release(connection)
+    connection.abort()
+    network.pool.release(connection)
+    assert network.pool.idle == 0
+
+
+@pytest.mark.parametrize("extra", [REPLY, b"HTTP/1.1 200", REPLY[:40]])
+def test_reply_with_more_bytes_behind_it_is_used_and_closes(extra: bytes) -> None:
+    """Guards against a second reply that spoils the first or reaches the next."""
+    network = Network(limit=1)
+    network.acquire()
+    transport = network.connect()
+    connection = network.taken[0]
+    assert connection is not None
+    outcomes: list[object] = []
+    connection.send(b"request", outcomes.append)
+    connection.dataReceived(REPLY + extra)
+    assert outcomes == [dialect.HttpReply(200, b"{}")]
+    assert transport.closed
+    network.pool.release(connection)
+    assert network.pool.idle == 0
+
+
+def test_bytes_after_a_reply_close_an_idle_connection() -> None:
+    """Guards against reusing a connection whose target repeats a reply."""
+    network = Network(limit=1)
+    network.acquire()
+    network.connect()
+    connection = network.taken[0]
+    assert connection is not None
+    connection.send(b"request", lambda outcome: network.pool.release(connection))
+    connection.dataReceived(REPLY)
+    assert network.pool.idle == 1
+    connection.dataReceived(REPLY)
+    network.acquire()
+    assert len(network.taken) == 1
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(
+                ("acquire", "connect", "refuse", "release", "abort", "lose", "limit")
+            ),
+            strategies.integers(0, 5),
+        ),
+        max_size=60,
+    )
+)
+def test_limit_holds_for_any_history(history: list[tuple[str, int]]) -> None:
+    """Guards against more open connections than the share of the target's limit."""
+    network = Network(limit=3)
+    allowed = 3
+    for event, number in history:
+        held = [c for c in network.taken if c is not None and c.open]
+        before = len(network.links) + len(network.pending)
+        if event == "acquire":
+            network.acquire()
+        elif event == "connect" and network.pending:
+            network.connect()
+        elif event == "refuse" and network.pending:
+            network.refuse()
+        elif event == "release" and held:
+            network.taken.remove(held[0])
+            network.pool.release(held[0])
+        elif event == "abort" and held:
+            held[0].abort()
+        elif event == "lose" and number < len(network.links):
+            network.lose(number)
+        elif event == "limit":
+            allowed = number
+            network.pool.set_limit(number)
+        network.reap()
+        total = len(network.links) + len(network.pending)
+        assert total == network.pool.size
+        assert total <= max(allowed, before)
