--- /dev/null
+++ b/tests/process/test_budget.py
@@ -0,0 +1,110 @@
+"""Tests of the budget of extra sub-requests and of the hedge delay."""
+
+import random
+
+import pytest
+
+from jackdawpass.process import budget, hedging, latencies
+
+ATTEMPTS = 20_000
+
+
+def _feed(
+    recent: latencies.ServiceLatencies, start: float, latency: float, seed: int = 0
+) -> float:
+    generator = random.Random(seed)
+    for _ in range(500):
+        start += 0.01
+        recent.add(start, latency * generator.lognormvariate(0, 0.5))
+    return start
+
+
+def _spent(extra: budget.ServiceBudget, attempts: int) -> int:
+    spent = 0
+    for _ in range(attempts):
+        extra.on_first_attempts(0.0, 1)
+        spent += extra.try_spend(0.0)
+    return spent
+
+
+def test_extra_load_stays_within_the_share() -> None:
+    """Guards against more extra sub-requests than the share declares."""
+    extra = budget.ServiceBudget(0.05, latencies.ServiceLatencies())
+    spent = _spent(extra, ATTEMPTS)
+    burst = budget.BURST_TOKENS + budget.RESERVE_TOKENS
+    assert 0.04 * ATTEMPTS < spent <= 0.05 * ATTEMPTS + burst
+
+
+def test_budget_closes_when_the_whole_service_is_slow() -> None:
+    """Guards against hedges that add load to a service that is slow as a whole."""
+    recent = latencies.ServiceLatencies()
+    extra = budget.ServiceBudget(0.05, recent)
+    now = _feed(recent, 0.0, 0.005)
+    plan = hedging.PercentileHedging(recent, extra, 95.0)
+    assert plan.delay(now, "t") is not None
+    now = _feed(recent, now, 0.05)
+    assert recent.slow
+    assert plan.delay(now, "t") is None
+    assert _spent(extra, ATTEMPTS) < 0.02 * ATTEMPTS
+    _feed(recent, now, 0.005)
+    assert not recent.slow
+
+
+def test_closed_budget_still_pays_for_a_few_retries() -> None:
+    """Guards against failed requests when a target drains in a slow period."""
+    recent = latencies.ServiceLatencies()
+    extra = budget.ServiceBudget(0.05, recent)
+    _feed(recent, _feed(recent, 0.0, 0.005), 0.05)
+    assert all(extra.try_spend(0.0) for _ in range(int(budget.RESERVE_TOKENS)))
+
+
+def test_hedges_leave_tokens_for_retries() -> None:
+    """Guards against hedges that use up what a lost replica needs."""
+    recent = latencies.ServiceLatencies()
+    extra = budget.ServiceBudget(0.05, recent)
+    now = _feed(recent, 0.0, 0.005)
+    plan = hedging.PercentileHedging(recent, extra, 95.0)
+    while plan.delay(now, "t") is not None:
+        assert extra.try_spend(now)
+    assert extra.try_spend(now)
+
+
+def test_share_of_zero_permits_nothing() -> None:
+    """Guards against extra sub-requests that the operator switched off."""
+    extra = budget.ServiceBudget(0.0, latencies.ServiceLatencies())
+    assert _spent(extra, 1000) == 0
+    assert not extra.allows_hedges
+
+
+@pytest.mark.parametrize("share", [0.0, 0.03, 0.12])
+def test_hedge_delay_ignores_stragglers(share: float) -> None:
+    """Guards against a percentile that becomes the stragglers' own latency."""
+    recent = latencies.ServiceLatencies()
+    generator = random.Random(1)
+    for step in range(1000):
+        straggles = generator.random() < share
+        recent.add(step * 0.001, 0.5 if straggles else 0.004)
+    extra = budget.ServiceBudget(0.05, recent)
+    delay = hedging.PercentileHedging(recent, extra, 95.0).delay(1.0, "t")
+    assert delay is not None
+    assert 0.004 <= delay <= 0.004 * hedging.MAX_MEDIAN_RATIO
+
+
+def test_hedge_needs_samples_and_keeps_a_floor() -> None:
+    """Guards against hedges on no evidence, or on every attempt of a fast service."""
+    recent = latencies.ServiceLatencies()
+    extra = budget.ServiceBudget(0.05, recent)
+    plan = hedging.PercentileHedging(recent, extra, 95.0)
+    for _ in range(latencies.MIN_SAMPLES):
+        assert plan.delay(0.0, "t") is None
+        recent.add(0.0, 0.0001)
+    assert plan.delay(0.0, "t") == hedging.FLOOR_SECONDS
+    assert hedging.PercentileHedging(recent, extra, 0.0).delay(0.0, "t") is None
+
+
+def test_clock_that_steps_back_does_not_stop_the_review() -> None:
+    """Guards against a state that lasts until the clock has caught up."""
+    recent = latencies.ServiceLatencies()
+    _feed(recent, 10_000.0, 0.005)
+    _feed(recent, 5.0, 0.05)
+    assert recent.slow
--- /dev/null
+++ b/tests/process/test_limiter.py
@@ -0,0 +1,141 @@
+"""Tests of the adaptive concurrency limit."""
+
+import collections
+import heapq
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from jackdawpass.process import limiter
+from jackdawpass.request import model
+
+SERVICE_SECONDS = 0.005
+SHED = model.AttemptFailure(model.FailureKind.SHED, model.Execution.REFUSED_NOT_RUN)
+
+
+class _Server:
+    """Simulates instances that always have work, on one server with a queue."""
+
+    def __init__(self, instances: int, slots: int, seed: int) -> None:
+        self.done = [0] * instances
+        self.most_in_flight = 0
+        self._random = random.Random(seed)
+        self._limits = [limiter.Limiter(slots / 30, 2.0) for _ in range(instances)]
+        self._slots = slots
+        self._running = 0
+        self._queue: collections.deque[tuple[int, float]] = collections.deque()
+        # (time, instance, time of sending); a negative one only wakes the instance.
+        self._events = [(0.001 * i, i, -1.0) for i in range(instances)]
+
+    def run(self, seconds: float) -> None:
+        now = 0.0
+        while now < seconds:
+            now, instance, sent = heapq.heappop(self._events)
+            if sent >= 0:
+                self._finish(now, instance, sent)
+            self._start(now, instance)
+
+    def _finish(self, now: float, instance: int, sent: float) -> None:
+        self.done[instance] += 1
+        self._limits[instance].on_reply(now, now - sent)
+        self._running -= 1
+        if self._queue:
+            self._serve(now, *self._queue.popleft())
+
+    def _start(self, now: float, instance: int) -> None:
+        gate = self._limits[instance]
+        while gate.try_start(now):
+            if self._running < self._slots:
+                self._serve(now, instance, now)
+            else:
+                self._queue.append((instance, now))
+        self.most_in_flight = max(self.most_in_flight, self._running + len(self._queue))
+        at = gate.next_start(now)
+        if at is not None:
+            heapq.heappush(self._events, (max(at, now + 0.0005), instance, -1.0))
+
+    def _serve(self, now: float, instance: int, sent: float) -> None:
+        self._running += 1
+        takes = SERVICE_SECONDS * self._random.lognormvariate(-0.125, 0.5)
+        heapq.heappush(self._events, (now + takes, instance, sent))
+
+
+def test_20_instances_neither_overload_nor_starve_2_slots() -> None:
+    """Guards against a limit that cannot go under one request per instance."""
+    server = _Server(instances=20, slots=2, seed=3)
+    server.run(20.0)
+    capacity = 20.0 * 2 / SERVICE_SECONDS
+    assert sum(server.done) > 0.9 * capacity
+    assert server.most_in_flight <= 40
+    assert min(server.done) > capacity / 20 / 10
+
+
+def test_all_instances_at_their_floor_fit_the_slots() -> None:
+    """Guards against shed replies that leave more load than the target can run."""
+    gate = limiter.Limiter(2 / 20, 2.0)
+    for step in range(100):
+        gate.try_start(float(step))
+        gate.on_failure(float(step), SHED)
+    assert 20 * gate.limit <= 2.0 + 1e-9
+
+
+def test_limit_recovers_after_a_slow_period() -> None:
+    """Guards against a target that stays throttled after it is fast again."""
+    gate = limiter.Limiter(2 / 30, 2.0)
+    now = 0.0
+    lowest = 2.0
+    for latency, count in ((0.005, 200), (0.2, 100), (0.005, 200)):
+        for _ in range(count):
+            now = gate.next_start(now) or now
+            assert gate.try_start(now)
+            now += latency
+            gate.on_reply(now, latency)
+            lowest = min(lowest, gate.limit)
+    assert lowest < 0.5
+    assert gate.limit > 1.5
+
+
+def test_pace_survives_a_clock_that_steps_back() -> None:
+    """Guards against a pause as long as the step."""
+    gate = limiter.Limiter(0.1, 2.0)
+    gate.try_start(1000.0)
+    gate.on_reply(1000.1, 0.1)
+    at = gate.next_start(10.0)
+    assert at is not None
+    assert at <= 10.0 + limiter.MAX_PAUSE_SECONDS
+    assert gate.try_start(at)
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(("start", "reply", "shed", "cancel")),
+            strategies.floats(-5, 5),
+            strategies.floats(0, 10),
+        ),
+        max_size=60,
+    )
+)
+def test_bounds_hold_for_any_history(
+    history: list[tuple[str, float, float]],
+) -> None:
+    """Guards against a lost place and a limit out of its bounds, whatever the clock."""
+    gate = limiter.Limiter(0.1, 3.0)
+    now, started = 100.0, 0
+    for event, step, latency in history:
+        now += step
+        if event == "start":
+            started += gate.try_start(now)
+        elif started:
+            started -= 1
+            if event == "reply":
+                gate.on_reply(now, latency)
+            elif event == "shed":
+                gate.on_failure(now, SHED)
+            else:
+                gate.on_cancelled(now, latency)
+        assert gate.in_flight == started <= 3
+        assert 0.1 <= gate.limit <= 3.0
+        at = gate.next_start(now)
+        assert at is None or at <= now + limiter.MAX_PAUSE_SECONDS
--- /dev/null
+++ b/tests/process/test_routing.py
@@ -0,0 +1,159 @@
+"""Tests of the adaptive router."""
+
+import collections
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from jackdawpass.process import replicas, routing
+from jackdawpass.request import model
+from jackdawpass.version import catalog, schema
+
+LOST = model.AttemptFailure(model.FailureKind.CONNECT_FAILED, model.Execution.NOT_SENT)
+DRAINING = model.AttemptFailure(
+    model.FailureKind.DRAINING, model.Execution.REFUSED_NOT_RUN
+)
+
+
+class _Setup:
+    """A router in zone `a` over targets whose name starts with their zone."""
+
+    def __init__(self, placement: dict[int, tuple[str, ...]], seed: int = 0) -> None:
+        names = {name for each in placement.values() for name in each}
+        targets = {
+            name: catalog.Target(name, schema.TargetSettings("127.0.0.1", 1, name[0]))
+            for name in names
+        }
+        shard_map = catalog.ShardMap("s1", placement)
+        service = catalog.Service("lots", schema.PolicySettings(), targets, shard_map)
+        self.statistics = replicas.ServiceReplicas()
+        self.statistics.keep(targets)
+        self.at_limit: set[str] = set()
+        self.router = routing.AdaptiveRouter(
+            service,
+            shard_map,
+            "a",
+            self.statistics,
+            routing.SpillBudget(),
+            lambda name, _: name in self.at_limit,
+            random.Random(seed),
+        )
+        self.shards = shard_map.shards
+
+    def chosen(self, now: float, queries: int) -> collections.Counter[str]:
+        counts: collections.Counter[str] = collections.Counter()
+        for _ in range(queries):
+            assigned = self.router.assign(now, self.shards, {})
+            counts.update(each.target for each in assigned)
+        return counts
+
+    def replica(self, name: str) -> replicas.Replica:
+        replica = self.statistics.get(name)
+        assert replica is not None
+        return replica
+
+    def lose(self, now: float, name: str) -> None:
+        for _ in range(replicas.FAILURES_TO_EJECT):
+            self.replica(name).on_submitted(now)
+            self.statistics.on_failure(now, name, LOST)
+
+
+PAIR: dict[int, tuple[str, ...]] = {0: ("a1", "a2", "b1", "b2")}
+
+
+def test_stays_in_the_zone_while_it_is_healthy() -> None:
+    """Guards against cross-zone traffic without need."""
+    assert set(_Setup(PAIR).chosen(1.0, 100)) == {"a1", "a2"}
+
+
+def test_leaves_the_zone_when_local_targets_are_lost_and_returns() -> None:
+    """Guards against missing shards while another zone holds them."""
+    setup = _Setup(PAIR)
+    setup.lose(1.0, "a1")
+    setup.lose(1.0, "a2")
+    assert set(setup.chosen(1.5, 50)) == {"b1", "b2"}
+    for name in ("a1", "a2"):
+        setup.replica(name).on_submitted(2.5)
+        setup.replica(name).on_reply(2.6, 0.001)
+    assert set(setup.chosen(10.0, 50)) == {"a1", "a2"}
+
+
+def test_spill_because_of_load_is_bounded() -> None:
+    """Guards against an overloaded zone that overloads the next one."""
+    setup = _Setup(PAIR)
+    setup.at_limit = {"a1", "a2"}
+    counts = setup.chosen(1.0, 1000)
+    spilled = counts["b1"] + counts["b2"]
+    bound = 1000 * routing.MAX_SPILL_SHARE + routing.SPILL_BURST
+    assert bound / 2 < spilled <= bound
+    setup.at_limit = {"a1", "a2", "b1", "b2"}
+    assert set(setup.chosen(1.0, 100)) == {"a1", "a2"}
+
+
+def test_draining_target_gets_nothing_even_as_the_last_one() -> None:
+    """Guards against new work for a leaving target."""
+    setup = _Setup({0: ("a1",), 1: ("a1", "a2")})
+    setup.replica("a1").on_submitted(1.0)
+    setup.statistics.on_failure(1.0, "a1", DRAINING)
+    assigned = setup.router.assign(2.0, setup.shards, {})
+    assert [(each.target, each.shards) for each in assigned] == [
+        ("a2", frozenset((1,)))
+    ]
+
+
+def test_last_replica_is_used_although_it_is_ejected() -> None:
+    """Guards against giving up a shard on a suspicion."""
+    setup = _Setup({0: ("a1",), 1: ("a2",)})
+    setup.lose(1.0, "a1")
+    assert setup.replica("a1").ejected
+    assert set(setup.chosen(1.1, 1)) == {"a1", "a2"}
+
+
+def test_prefers_the_shorter_wait_and_starts_slowly() -> None:
+    """Guards against equal shares for a slow or a cold target."""
+    setup = _Setup({0: ("a1", "a2")})
+    for name, latency in (("a1", 0.1), ("a2", 0.001)):
+        setup.replica(name).on_submitted(1.0)
+        setup.replica(name).on_reply(1.0, latency)
+    assert set(setup.chosen(1.0, 50)) == {"a2"}
+    setup.replica("a2").on_listed(1.0, leaving=True)
+    setup.replica("a2").on_listed(1.0, leaving=False)
+    counts = setup.chosen(1.1, 400)
+    assert 0 < counts["a2"] < 60
+
+
+def test_no_targets_give_no_assignment() -> None:
+    """Guards against a crash on a service without targets."""
+    assert _Setup({0: (), 1: ()}).router.assign(1.0, frozenset((0, 1)), {}) == ()
+
+
+_NAMES = strategies.sampled_from(("a1", "a2", "a3", "b1", "b2"))
+
+
+@hypothesis.given(
+    strategies.dictionaries(
+        strategies.integers(0, 12), strategies.sets(_NAMES), min_size=1
+    ),
+    strategies.dictionaries(strategies.integers(0, 12), strategies.sets(_NAMES)),
+    strategies.sets(_NAMES),
+    strategies.integers(0, 5),
+)
+def test_assignments_are_disjoint_allowed_and_complete(
+    placement: dict[int, set[str]],
+    excluded: dict[int, set[str]],
+    lost: set[str],
+    seed: int,
+) -> None:
+    """Guards against a doubled shard, an excluded target and two messages to one."""
+    setup = _Setup({s: tuple(sorted(n)) for s, n in placement.items()}, seed)
+    for name in sorted(lost & set().union(*placement.values())):
+        setup.lose(1.0, name)
+    assigned = setup.router.assign(1.1, setup.shards, excluded)
+    names = [each.target for each in assigned]
+    assert len(names) == len(set(names))
+    covered = [shard for each in assigned for shard in each.shards]
+    assert len(covered) == len(set(covered))
+    allowed = {s: placement[s] - excluded.get(s, set()) for s in placement}
+    assert all(each.target in allowed[s] for each in assigned for s in each.shards)
+    assert set(covered) == {shard for shard, names in allowed.items() if names}
