Induce failures of each promise of a request on real processes

Cause: the promises of one request were tested only as pure state machines. Found by it: when a target fails during submit, the machine could end the request as not_run while a send decided earlier was still pending; the runner now withdraws such sends (test_runner fails without it).

--- a/jackdawpass/request/runner.py
+++ b/jackdawpass/request/runner.py
@@ -104,7 +104,9 @@
     def _perform(self, actions: machine.Actions) -> None:
         # A channel may call back while an action is performed; its actions queue up
         # behind those already decided.
-        self._pending.extend(actions)
+        for action in actions:
+            if not self._withdraws_send(action):
+                self._pending.append(action)
         if self._performing:
             return
         self._performing = True
@@ -114,6 +116,22 @@
         finally:
             self._performing = False
 
+    def _withdraws_send(self, action: machine.Action) -> bool:
+        """Drop a pending `Send` that `action` cancels; return True if there is one.
+
+        Otherwise a request could be sent after its machine has ended it as not run.
+        """
+        if not isinstance(action, machine.Cancel):
+            return False
+        for pending in self._pending:
+            if (
+                isinstance(pending, machine.Send)
+                and pending.attempt.attempt_id == action.attempt_id
+            ):
+                self._pending.remove(pending)
+                return True
+        return False
+
     def _perform_one(self, action: machine.Action) -> None:
         match action:
             case machine.Send(attempt):
--- a/jackdawpass/standins/corpus.py
+++ b/jackdawpass/standins/corpus.py
@@ -8,14 +8,18 @@
 
 
 def shard_results(
-    service: str, snapshot: str, shard: int
+    service: str, snapshot: str, shard: int, query: object
 ) -> list[dict[str, typing.Any]]:
-    """Return the results of one shard; every holder of the shard has the same."""
+    """Return the results of one shard; every holder of the shard has the same.
+
+    Each result's value names its snapshot, shard and query, so that a test can tell
+    results that do not belong to an answer.
+    """
     return [
         {
             "id": f"{service}-{shard}-{item}",
             "score": _score(service, snapshot, shard, item),
-            "value": {"snapshot": snapshot, "shard": shard},
+            "value": {"snapshot": snapshot, "shard": shard, "query": query},
         }
         for item in range(ITEMS_PER_SHARD)
     ]
--- a/jackdawpass/standins/target.py
+++ b/jackdawpass/standins/target.py
@@ -250,7 +250,9 @@
             job.connection.reply(200, document)
 
     def _results(self, job: _Job, shard: int) -> list[dict[str, typing.Any]]:
-        results = corpus.shard_results(job.run.service, job.run.snapshot, shard)
+        results = corpus.shard_results(
+            job.run.service, job.run.snapshot, shard, job.run.query
+        )
         return results * 2 if self._faults.repeat_results else results
 
     def _start_waiting(self) -> None:
