--- a/jackdawpass/process/limiter.py
+++ b/jackdawpass/process/limiter.py
@@ -17,6 +17,8 @@
 TOLERATED_RATIO = 2.0
 MIN_GRADIENT = 0.1
 SMOOTHING = 0.2
+# Under one there are few samples; each is a whole round trip.
+PACED_SMOOTHING = 0.6
 HEADROOM = 0.2
 SHED_FACTOR = 0.7
 # Bounds what one straggler adds to the short-term latency.
@@ -140,7 +142,8 @@
         self._limited = False
         if wanted > self._limit and not used:
             return
-        self._set_limit(self._limit + SMOOTHING * (wanted - self._limit))
+        smoothing = SMOOTHING if self._limit >= 1 else PACED_SMOOTHING
+        self._set_limit(self._limit + smoothing * (wanted - self._limit))
 
     def _note(self, now: float, latency: float) -> None:
         elapsed = now - self._last_sample
