Count aborted connections for a while, and give the whole share to hedges

Cause: a target may accept a new connection before it sees that an aborted one is closed; and a tenth of the budget was kept for slow periods even when that reserve was full. Change: the pool counts an aborted connection for 20 ms longer; the reserve takes its part of the share only while it is not full.

--- a/jackdawpass/connection/exchange.py
+++ b/jackdawpass/connection/exchange.py
@@ -48,6 +48,7 @@
         self._status = 0
         self._keep_alive = False
         self._closed = False
+        self._aborted = False
 
     @property
     def busy(self) -> bool:
@@ -59,6 +60,11 @@
         """True until the connection is closed or about to close."""
         return not self._closed
 
+    @property
+    def aborted(self) -> bool:
+        """True when this side closed the connection."""
+        return self._aborted
+
     def send(self, request: bytes, on_done: OnDone) -> None:
         """Write a request; `on_done` is called exactly once unless aborted.
 
@@ -148,5 +154,6 @@
 
     def _close(self) -> None:
         self._closed = True
+        self._aborted = True
         if self.transport is not None:
             self.transport.abortConnection()  # type: ignore[attr-defined]
--- a/jackdawpass/connection/pool.py
+++ b/jackdawpass/connection/pool.py
@@ -11,6 +11,10 @@
 # A connect takes 6 ms; a target that needs longer than this is taken for lost.
 CONNECT_TIMEOUT_SECONDS = 0.3
 
+# A target may accept a new connection before it notices that an aborted one is closed.
+# The aborted one counts for this long, so that the target never sees more than `limit`.
+ABORT_GRACE_SECONDS = 0.02
+
 OnConnection = collections.abc.Callable[[exchange.Exchange | None], None]
 
 
@@ -41,6 +45,7 @@
     """
 
     def __init__(self, reactor: typing.Any, host: str, port: int, limit: int) -> None:
+        self._reactor = reactor
         self._endpoint = endpoints.TCP4ClientEndpoint(
             reactor, host, port, timeout=CONNECT_TIMEOUT_SECONDS
         )
@@ -48,14 +53,15 @@
         self._limit = limit
         self._open: set[exchange.Exchange] = set()
         self._connecting = 0
+        self._aborted = 0
         self._idle: collections.deque[exchange.Exchange] = collections.deque()
         self._waiting: collections.deque[OnConnection] = collections.deque()
         self._closed = False
 
     @property
     def size(self) -> int:
-        """Number of connections, those being opened included."""
-        return len(self._open) + self._connecting
+        """Number of connections, those being opened or just aborted included."""
+        return len(self._open) + self._connecting + self._aborted
 
     @property
     def idle(self) -> int:
@@ -118,8 +124,19 @@
         if was_idle:
             self._idle.remove(connection)
         self._open.discard(connection)
+        if connection.aborted:
+            self._aborted += 1
+            self._reactor.callLater(ABORT_GRACE_SECONDS, self._on_freed, was_idle)
+        else:
+            self._reopen(was_idle)
+
+    def _on_freed(self, was_idle: bool) -> None:
+        self._aborted -= 1
+        self._reopen(was_idle)
+
+    def _reopen(self, was_idle: bool) -> None:
         self._open_more()
-        if not was_idle and not self._idle and not self._connecting:
+        if not was_idle and not self._idle:
             self._open_spare()
 
     def _open_more(self) -> None:
--- a/jackdawpass/process/budget.py
+++ b/jackdawpass/process/budget.py
@@ -40,9 +40,18 @@
         """Tokens left."""
         return self._tokens
 
+    @property
+    def missing(self) -> float:
+        """Tokens that may still be saved up."""
+        return self._burst - self._tokens
+
+    def earn(self, tokens: float) -> None:
+        """Add tokens up to the burst."""
+        self._tokens = min(self._burst, self._tokens + tokens)
+
     def on_first_attempts(self, now: float, count: int) -> None:
         """Note first attempts, which earn budget."""
-        self._tokens = min(self._burst, self._tokens + self._share * count)
+        self.earn(self._share * count)
 
     def try_spend(self, now: float) -> bool:
         """Take one token; False when there is none."""
@@ -64,9 +73,9 @@
     """
 
     def __init__(self, share: float, slowness: Slowness) -> None:
-        reserved = min(share, RESERVE_SHARE)
-        self._open = TokenBudget(share - reserved, BURST_TOKENS if share > 0 else 0.0)
-        self._reserve = TokenBudget(reserved, RESERVE_TOKENS if share > 0 else 0.0)
+        self._share = share
+        self._open = TokenBudget(share, BURST_TOKENS if share > 0 else 0.0)
+        self._reserve = TokenBudget(share, RESERVE_TOKENS if share > 0 else 0.0)
         self._slowness = slowness
 
     @property
@@ -76,9 +85,11 @@
 
     def on_first_attempts(self, now: float, count: int) -> None:
         """Note first attempts, which earn budget."""
+        earned = self._share * count
+        reserved = min(earned, RESERVE_SHARE * count, self._reserve.missing)
+        self._reserve.earn(reserved)
         if not self._slowness.slow:
-            self._open.on_first_attempts(now, count)
-        self._reserve.on_first_attempts(now, count)
+            self._open.earn(earned - reserved)
 
     def try_spend(self, now: float) -> bool:
         """Take the budget for one extra sub-request; False when there is none."""
