Open spare connections for concurrent traffic only, and choose targets faster

Cause: a spare connection was opened even for one request at a time, and routing 190 shards took longer than needed.

--- a/jackdawpass/connection/pool.py
+++ b/jackdawpass/connection/pool.py
@@ -31,8 +31,8 @@
 class Pool:
     """Keeps at most `limit` connections to a target, opening and idle ones included.
 
-    A spare connection is opened when traffic takes the last idle one, and another
-    when one in recent use is lost, so that few requests wait for a connect.
+    A spare connection is opened when concurrent requests take the last idle one, and
+    one that is lost while in use is replaced, so that few requests wait for a connect.
 
     Parameters
     ----------
@@ -84,7 +84,8 @@
             self._waiting.append(on_connection)
             self._open_more()
             return
-        if not self._idle:
+        if not self._idle and len(self._open) > 1:
+            # Two are in use at once, so a third may be needed soon.
             self._open_spare()
         on_connection(connection)
 
--- a/jackdawpass/process/routing.py
+++ b/jackdawpass/process/routing.py
@@ -2,8 +2,8 @@
 
 import collections
 import collections.abc
-import dataclasses
 import random
+import typing
 
 from jackdawpass.process import replicas
 from jackdawpass.request import machine
@@ -75,9 +75,12 @@
         self._tokens -= 1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Candidate:
-    """A target as it stands during one assignment."""
+class _Candidate(typing.NamedTuple):
+    """A target as it stands during one assignment.
+
+    A named tuple, since a query makes one for each replica of each shard and a frozen
+    data class takes several times as long to make.
+    """
 
     name: str
     local: bool
@@ -163,7 +166,7 @@
             name,
             target.zone == self._zone,
             replica.usable(now),
-            self._random.random() < replica.weight(now),
+            (weight := replica.weight(now)) >= 1 or self._random.random() < weight,
             replica.draining(now),
             self._at_limit(name, replica),
             replica.expected_wait(now, self._statistics.typical_latency),
@@ -203,11 +206,16 @@
         """Return the better one of two random candidates."""
         if len(candidates) == 1:
             return candidates[0]
-        first = self._random.randrange(len(candidates))
-        second = self._random.randrange(len(candidates) - 1)
+        # In random order, since `min` takes the first one of equals.
+        first = int(self._random.random() * len(candidates))
+        second = int(self._random.random() * (len(candidates) - 1))
         if second >= first:
             second += 1
-        return min(candidates[first], candidates[second], key=lambda each: each.wait)
+        return min(candidates[first], candidates[second], key=_wait)
+
+
+def _wait(candidate: _Candidate) -> float:
+    return candidate.wait
 
 
 def _healthiest(candidates: list[_Candidate]) -> list[_Candidate]:
