--- a/jackdawpass/request/claims.py
+++ b/jackdawpass/request/claims.py
@@ -23,6 +23,7 @@
 MAX_KEY_CHARACTERS = 255
 MAX_RECORD_BYTES = 256 * 1024
 ACQUIRE_TRIES = 3
+RECORD_TRIES = 3
 RETRY_AFTER_SECONDS = 1.0
 
 
@@ -147,7 +148,7 @@
     content = ClaimObject(
         claim.content.writer, claim.content.fingerprint, state, _bounded(answer)
     )
-    for _ in range(ACQUIRE_TRIES):
+    for _ in range(RECORD_TRIES):
         written = yield platform.update(claim.key, claim.version, _document(content))
         if isinstance(written, result.Success):
             return True
--- /dev/null
+++ b/tests/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of the specifications and of the code against them."""
--- /dev/null
+++ b/tests/specs/test_claim_conformance.py
@@ -0,0 +1,166 @@
+"""Drives the claim code through arbitrary behaviours of its specification."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+from returns import result
+
+from jackdawpass.request import claims, model
+from specs import claim as spec
+from tests.specs import delayed_platform
+
+KEY = claims.object_key("lots", "order-1")
+PROCESSES = 2
+STATES = {
+    spec.CLAIMED: claims.ClaimState.CLAIMED,
+    spec.NOT_RUN: claims.ClaimState.NOT_RUN,
+    spec.DONE: claims.ClaimState.DONE,
+}
+
+
+class RealProcess:
+    """One process that runs the code under test."""
+
+    def __init__(self, number: int, store: delayed_platform.SharedStore) -> None:
+        self.platform = delayed_platform.DelayedPlatform(store)
+        self.writer = str(number)
+        self.acquired: list[claims.Acquired] = []
+        self.recorded: list[bool] = []
+        self.crashed = False
+
+    def perform(self, label: str, landed: spec.Write | None) -> None:
+        match label:
+            case "claim":
+                claims.acquire(self.platform, KEY, self.writer, "h").addCallback(
+                    self.acquired.append
+                )
+            case "crash":
+                self.crashed = True
+            case "lose_reply" | "record_unseen":
+                self.platform.lose_reply()
+            case "read" | "release":
+                self.platform.answer_read()
+            case "read_fails" | "release_fails":
+                self.platform.answer_read(ok=False)
+            case "give_up":
+                self._record(claims.ClaimState.NOT_RUN)
+            case "answer":
+                self._record(claims.ClaimState.DONE)
+            case "run" | "uncertain":
+                pass
+            case _:
+                assert landed is not None
+                self._land(label, landed)
+
+    def release(self) -> None:
+        """Release the claim after a refusal, as the request's owner does."""
+        claims.release(self.platform, KEY, self.writer).addCallback(
+            self.recorded.append
+        )
+
+    def _record(self, state: claims.ClaimState) -> None:
+        held = self.acquired[0].unwrap()
+        assert isinstance(held, claims.Claim)
+        answer: model.JsonObject = {"results": []}
+        claims.record(self.platform, held, state, answer).addCallback(
+            self.recorded.append
+        )
+
+    def _land(self, label: str, landed: spec.Write) -> None:
+        # A reply belongs to the write that waits; a late write has none.
+        matching = [each for each in self.platform.flying if _as_spec(each) == landed]
+        waiting = self.platform.writing
+        replies = label in ("apply_and_reply", "apply_record", "conflict")
+        if replies and waiting in matching:
+            matching = [waiting]
+        elif not replies and len(matching) > 1:
+            matching = [each for each in matching if each is not waiting]
+        if label == "drop":
+            self.platform.drop(matching[0])
+        else:
+            self.platform.land(matching[0], reply=replies)
+
+
+def _as_spec(write: delayed_platform.Write) -> spec.Write:
+    return spec.Write(write.expected, write.value["state"])
+
+
+def _landed(before: spec.Process, after: spec.Process) -> spec.Write | None:
+    """Return the write that is on its way before but not after a step."""
+    remaining = list(after.flying)
+    for write in before.flying:
+        if write in remaining:
+            remaining.remove(write)
+        else:
+            return write
+    return None
+
+
+def _compare(
+    state: spec.State,
+    store: delayed_platform.SharedStore,
+    real: list[RealProcess],
+) -> None:
+    if state.store.version == 0:
+        assert KEY not in store.objects
+    else:
+        version, value = store.objects[KEY]
+        assert version == state.store.version
+        assert value["writer"] == str(state.store.writer)
+        assert value["state"] == state.store.state
+    for expected, process in zip(state.processes, real, strict=True):
+        flying = tuple(sorted(_as_spec(each) for each in process.platform.flying))
+        assert flying == expected.flying
+        if not process.crashed:
+            _compare_phase(expected, process)
+
+
+def _compare_phase(expected: spec.Process, process: RealProcess) -> None:
+    platform = process.platform
+    writes = (spec.CREATING, spec.TAKING, spec.RECORDING)
+    reads = (spec.READING, spec.RELEASING)
+    assert (platform.writing is not None) == (expected.phase in writes)
+    assert (platform.reading is not None) == (expected.phase in reads)
+    if expected.phase in (spec.IDLE, spec.CREATING, spec.TAKING, spec.READING):
+        assert not process.acquired
+        return
+    (acquired,) = process.acquired
+    if expected.phase in (spec.HOLDING, spec.RUNNING) or expected.ran:
+        assert isinstance(acquired.unwrap(), claims.Claim)
+    elif expected.told == spec.TOLD_UNKNOWN:
+        assert acquired.failure().outcome is model.Outcome.UNKNOWN
+    elif expected.told == spec.TOLD_ANSWER:
+        assert isinstance(acquired.unwrap(), model.RecordedAnswer)
+    elif isinstance(acquired, result.Failure):
+        assert expected.told == spec.TOLD_NOT_RUN
+        assert acquired.failure().outcome is model.Outcome.NOT_RUN
+
+
+@pytest.fixture(scope="module", autouse=True)
+def bounded_tries() -> None:
+    """Use the specification's bounds, so that both take the same steps."""
+    claims.ACQUIRE_TRIES = spec.CREATE_TRIES
+    claims.RECORD_TRIES = 1
+
+
+@hypothesis.settings(max_examples=600, deadline=None, derandomize=True)
+@hypothesis.given(st.data())
+def test_claim_code_takes_the_steps_of_its_specification(data: st.DataObject) -> None:
+    """Guards against code that differs from the protocol that was checked."""
+    state = spec.State(spec.Store(), (spec.Process(),) * PROCESSES)
+    store = delayed_platform.SharedStore()
+    real = [RealProcess(number, store) for number in range(PROCESSES)]
+    for _ in range(data.draw(st.integers(1, 25))):
+        steps = spec.transitions(state)
+        if not steps:
+            break
+        label, after = data.draw(st.sampled_from(steps))
+        action, number = label.rsplit(" ", 1)
+        position = int(number)
+        before = state.processes[position]
+        real[position].perform(action, _landed(before, after.processes[position]))
+        releasing = after.processes[position].phase == spec.RELEASING
+        if releasing and before.phase != spec.RELEASING:
+            real[position].release()
+        state = after
+        _compare(state, store, real)
