--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint types unit binary clean
+.PHONY: setup demo test lint types unit mutations binary clean
 
 setup: $(VENV)/.installed
 
@@ -28,5 +28,8 @@
 
 test: lint types unit
 
+mutations: setup
+	$(BIN)/python -m tests.mutations
+
 clean:
 	rm -rf $(VENV) build dist
--- /dev/null
+++ b/tests/test_style.py
@@ -0,0 +1,54 @@
+"""House rules that the linter does not know."""
+
+import ast
+import pathlib
+
+import pytest
+
+ROOT = pathlib.Path(__file__).parent.parent
+MAX_LINES = 400
+SOURCES = sorted(
+    path
+    for folder in ("jackdawpass", "specs", "tests")
+    for path in (ROOT / folder).rglob("*.py")
+)
+
+
+def _is_module(package: str, name: str) -> bool:
+    base = ROOT / pathlib.Path(*package.split("."))
+    return (base / f"{name}.py").exists() or (base / name / "__init__.py").exists()
+
+
+@pytest.mark.parametrize("path", SOURCES, ids=lambda path: str(path.relative_to(ROOT)))
+def test_own_modules_are_imported_not_names(path: pathlib.Path) -> None:
+    """Guards against names whose module a reader has to look up."""
+    tree = ast.parse(path.read_text(encoding="utf-8"))
+    for node in ast.walk(tree):
+        if not isinstance(node, ast.ImportFrom) or node.module is None:
+            continue
+        if node.module.split(".")[0] in ("jackdawpass", "specs", "tests"):
+            names = [alias.name for alias in node.names]
+            allowed = [
+                name
+                for name in names
+                if _is_module(node.module, name) or name == "__version__"
+            ]
+            assert names == allowed, f"{path}:{node.lineno}"
+
+
+@pytest.mark.parametrize("path", SOURCES, ids=lambda path: str(path.relative_to(ROOT)))
+def test_modules_stay_small(path: pathlib.Path) -> None:
+    """Guards against modules with more than one job, and against file banners."""
+    lines = path.read_text(encoding="utf-8").splitlines()
+    assert len(lines) <= MAX_LINES
+    banner = " ".join(lines[:5]).lower()
+    assert "copyright" not in banner and "licen" not in banner
+
+
+def test_standard_library_typing_is_imported_as_a_module() -> None:
+    """Guards against two ways to write the same annotation."""
+    for path in SOURCES:
+        text = path.read_text(encoding="utf-8")
+        for module in ("typing", "dataclasses", "collections.abc"):
+            line = "from " + module + " import"
+            assert line not in text, path
