--- /dev/null
+++ b/tests/process/test_waiting.py
@@ -0,0 +1,50 @@
+"""Tests of the waiting queue."""
+
+import hypothesis
+from hypothesis import strategies
+
+from jackdawpass.process import waiting
+
+_ITEMS = strategies.lists(
+    strategies.tuples(strategies.integers(0, 9), strategies.floats(0, 100)),
+    max_size=80,
+)
+
+
+@hypothesis.given(
+    _ITEMS, strategies.sets(strategies.integers(0, 79)), strategies.floats(0, 100)
+)
+def test_order_is_priority_then_deadline_without_expired_items(
+    items: list[tuple[int, float]], withdrawn: set[int], before: float
+) -> None:
+    """Guards against sending late items, and an order that withdrawn ones disturb."""
+    queue: waiting.WaitingQueue[int] = waiting.WaitingQueue()
+    kept = []
+    for number, (priority, deadline) in enumerate(items):
+        place = queue.push(number, priority, deadline, 80).place
+        assert place is not None
+        if number in withdrawn:
+            assert queue.remove(place) == number
+            assert queue.remove(place) is None
+        else:
+            kept.append((-priority, deadline, number))
+    expired = {number for _, deadline, number in kept if deadline <= before}
+    assert set(queue.pop_expired(before)) == expired
+    kept = sorted(each for each in kept if each[2] not in expired)
+    assert queue.earliest_deadline == min((each[1] for each in kept), default=None)
+    assert len(queue) == len(kept)
+    assert [queue.pop() for _ in kept] == [number for _, _, number in kept]
+    assert queue.pop() is None
+
+
+def test_full_queue_refuses_unless_the_new_item_has_a_higher_priority() -> None:
+    """Guards against a queue that grows, or that low priorities block."""
+    queue: waiting.WaitingQueue[str] = waiting.WaitingQueue()
+    queue.push("early", 5, 1.0, 2)
+    queue.push("late", 5, 2.0, 2)
+    assert queue.push("same", 5, 0.5, 2).place is None
+    admission = queue.push("high", 6, 9.0, 2)
+    assert admission.place is not None
+    assert admission.displaced == "late"
+    assert [queue.pop(), queue.pop(), queue.pop()] == ["high", "early", None]
+    assert queue.push("none", 9, 1.0, 0).place is None
