--- a/jackdawpass/errors.py
+++ b/jackdawpass/errors.py
@@ -15,14 +15,19 @@
         What is wrong.
     remedy : str
         What to do about it.
+    origin : str
+        Document that holds the fault, such as ``base`` or ``overlay north``; empty
+        when there is only one.
     """
 
     path: str
     message: str
     remedy: str
+    origin: str = ""
 
     def __str__(self) -> str:
-        return f"{self.path}: {self.message}; {self.remedy}"
+        place = f"{self.origin}: {self.path}" if self.origin else self.path
+        return f"{place}: {self.message}; {self.remedy}"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,4 +97,87 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangedPart:
+    """A part that another operator changed, and the version that changed it."""
+
+    part: str
+    version: int
+
+    def __str__(self) -> str:
+        return f"{self.part} in version {self.version}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConflictingChange:
+    """Another operator's change cannot be combined with this one.
+
+    Attributes
+    ----------
+    changes : tuple of ChangedPart
+        What the other operators changed.
+    faults : tuple of Fault
+        Faults of the two changes together; empty when both changed the same part.
+    """
+
+    changes: tuple[ChangedPart, ...]
+    faults: tuple[Fault, ...] = ()
+
+    def __str__(self) -> str:
+        changed = ", ".join(str(change) for change in self.changes)
+        line = (
+            f"the configuration changed meanwhile ({changed}); "
+            "compare with `config diff`, then apply the change again"
+        )
+        return "\n".join((line, *(str(fault) for fault in self.faults)))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CommitContended:
+    """Other writers or the platform prevented a commit; nothing was changed."""
+
+    tries: int
+    reason: str
+
+    def __str__(self) -> str:
+        return (
+            f"gave up after {self.tries} tries ({self.reason}) and changed nothing; "
+            "repeat the command"
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CommitUncertain:
+    """A commit may have taken effect, and its outcome could not be read back."""
+
+    writer: str
+    version: int
+    reason: str
+
+    def __str__(self) -> str:
+        return (
+            f"the change may have been accepted as version {self.version} "
+            f"({self.reason}); look for writer {self.writer} in `config history` "
+            "before repeating the command"
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionUnknown:
+    """A version is not in the history of the head."""
+
+    version: int
+
+    def __str__(self) -> str:
+        return f"version {self.version} does not exist; see `config history`"
+
+
 PlatformError = PlatformUnavailable | VersionConflict | ObjectMissing | CorruptObject
+ChangeError = (
+    PlatformError
+    | InvalidConfiguration
+    | ConflictingChange
+    | CommitContended
+    | CommitUncertain
+    | VersionUnknown
+)
--- a/jackdawpass/process/control.py
+++ b/jackdawpass/process/control.py
@@ -82,7 +82,7 @@
     ]:
         contents = {}
         known = {parts.chunk_hash(each): each for each in self._contents.values()}
-        for name, address in head.parts.items():
+        for name, (address,) in head.parts.items():
             if address in known:
                 contents[name] = known[address]
                 continue
--- a/jackdawpass/version/catalog.py
+++ b/jackdawpass/version/catalog.py
@@ -8,7 +8,7 @@
 from returns import result
 
 from jackdawpass import errors
-from jackdawpass.version import documents, parts, schema
+from jackdawpass.version import documents, indexes, parts, schema
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,35 +62,9 @@
     services: collections.abc.Mapping[str, Service]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class IndexDocument:
-    """A published snapshot with its shard map, as operators write it."""
-
-    snapshot: str
-    shards: int
-    placement: dict[str, list[int]]
-
-
-ParsedIndex = result.Result[IndexDocument, errors.InvalidConfiguration]
 BuiltCatalog = result.Result[Catalog, errors.InvalidConfiguration]
 
 
-def parse_index(document: object, name: str) -> ParsedIndex:
-    """Check an index document; `name` is the service, used in messages."""
-    try:
-        index = msgspec.convert(document, IndexDocument)
-    except msgspec.ValidationError as error:
-        return result.Failure(_invalid(name, str(error), "correct the index document"))
-    if not 1 <= index.shards <= schema.MAX_SHARDS:
-        remedy = f"use 1 to {schema.MAX_SHARDS} shards"
-        return result.Failure(_invalid(name, "shards is out of range", remedy))
-    placed = {shard for shards in index.placement.values() for shard in shards}
-    if not placed <= set(range(index.shards)):
-        remedy = f"place only shards 0 to {index.shards - 1}"
-        return result.Failure(_invalid(name, "places an unknown shard", remedy))
-    return result.Success(index)
-
-
 def build(
     version: int,
     site: str,
@@ -144,7 +118,7 @@
 def _shard_map(
     name: str, content: bytes, targets: collections.abc.Mapping[str, typing.Any]
 ) -> ShardMap | None:
-    index = parse_index(msgspec.json.decode(content), name).value_or(None)
+    index = indexes.parse_index(msgspec.json.decode(content), name).value_or(None)
     if index is None:
         return None
     replicas: dict[int, list[str]] = {shard: [] for shard in range(index.shards)}
@@ -155,8 +129,3 @@
     return ShardMap(
         index.snapshot, {shard: tuple(names) for shard, names in replicas.items()}
     )
-
-
-def _invalid(name: str, message: str, remedy: str) -> errors.InvalidConfiguration:
-    fault = errors.Fault(f"index.{name}", message, remedy)
-    return errors.InvalidConfiguration((fault,))
--- a/jackdawpass/version/documents.py
+++ b/jackdawpass/version/documents.py
@@ -1,13 +1,14 @@
 """Base file and overlays: reading JSON with comments, merging, splitting."""
 
 import collections.abc
+import dataclasses
 import typing
 
 import jsonc
 from returns import result
 
 from jackdawpass import errors
-from jackdawpass.version import schema
+from jackdawpass.version import origins, schema
 
 JsonObject = dict[str, typing.Any]
 Loaded = result.Result[JsonObject, errors.InvalidConfiguration]
@@ -18,7 +19,8 @@
     try:
         document = jsonc.loads(text)
     except (ValueError, RecursionError) as error:
-        fault = errors.Fault(name, f"is not valid JSON ({error})", "correct the file")
+        reason = " ".join(str(error).split())
+        fault = errors.Fault(name, f"is not valid JSON ({reason})", "correct the file")
         return result.Failure(errors.InvalidConfiguration((fault,)))
     if not isinstance(document, dict):
         fault = errors.Fault(name, "is not a JSON object", "wrap it in braces")
@@ -47,3 +49,28 @@
 def effective(base: JsonObject, overlay: JsonObject | None) -> schema.ParsedBase:
     """Return the checked configuration of a site."""
     return schema.parse_base(merge(base, overlay or {}))
+
+
+def site_faults(
+    base: JsonObject, overlays: collections.abc.Mapping[str, JsonObject]
+) -> tuple[errors.Fault, ...]:
+    """Return the faults of the base alone and with each site's overlay.
+
+    A fault of the base is reported once, not again for each site.
+    """
+    base_faults = _faults_of(base)
+    found = [
+        dataclasses.replace(fault, origin=origins.BASE_ORIGIN) for fault in base_faults
+    ]
+    for site in sorted(overlays):
+        for fault in _faults_of(merge(base, overlays[site])):
+            if fault not in base_faults:
+                found.append(origins.attribute(fault, base, overlays[site], site))
+    return tuple(found)
+
+
+def _faults_of(document: JsonObject) -> tuple[errors.Fault, ...]:
+    parsed = schema.parse_base(document)
+    if isinstance(parsed, result.Failure):
+        return parsed.failure().faults
+    return ()
--- a/jackdawpass/version/parts.py
+++ b/jackdawpass/version/parts.py
@@ -14,6 +14,11 @@
 OVERLAY_PREFIX = "overlay/"
 INDEX_PREFIX = "index/"
 
+# A JSON string takes at most 4 bytes per character of a JSON text, so that a chunk of
+# this many characters stays under the platform's limit of 1 MB per value.
+MAX_CHUNK_CHARACTERS = 240_000
+MAX_WHOLE_BYTES = 960_000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Head:
@@ -27,14 +32,14 @@
         Unique id of the write that made this version.
     previous : str
         Hash of the chunk that holds the previous head; empty for the first.
-    parts : mapping of str to str
-        Hash of each part by its name.
+    parts : mapping of str to tuple of str
+        Hashes of the chunks of each part, in order, by its name.
     """
 
     version: int
     writer: str
     previous: str
-    parts: collections.abc.Mapping[str, str]
+    parts: collections.abc.Mapping[str, tuple[str, ...]]
 
 
 def encode(document: object) -> bytes:
@@ -47,6 +52,48 @@
     return hashlib.sha256(content).hexdigest()
 
 
+def split_content(content: bytes) -> tuple[bytes, ...]:
+    """Split the content of a part into the contents of its chunks.
+
+    A part that fits in one object is its own chunk. The chunks of a larger part are
+    JSON strings that give its text when joined.
+    """
+    if len(content) <= MAX_WHOLE_BYTES:
+        return (content,)
+    text = content.decode("utf-8")
+    return tuple(
+        msgspec.json.encode(text[start : start + MAX_CHUNK_CHARACTERS])
+        for start in range(0, len(text), MAX_CHUNK_CHARACTERS)
+    )
+
+
+def join_content(chunks: collections.abc.Sequence[bytes]) -> bytes:
+    """Return the content of a part from its chunks; inverse of `split_content`.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        When one of several chunks is not a JSON string.
+    """
+    if len(chunks) == 1:
+        return chunks[0]
+    return "".join(msgspec.json.decode(each, type=str) for each in chunks).encode()
+
+
+def address(content: bytes) -> tuple[str, ...]:
+    """Return the hashes of the chunks of a part."""
+    return tuple(chunk_hash(chunk) for chunk in split_content(content))
+
+
+def changed_parts(
+    old: collections.abc.Mapping[str, tuple[str, ...]],
+    new: collections.abc.Mapping[str, tuple[str, ...]],
+) -> frozenset[str]:
+    """Return the names of the parts that differ between two heads."""
+    names = old.keys() | new.keys()
+    return frozenset(name for name in names if old.get(name) != new.get(name))
+
+
 def split_base(base: collections.abc.Mapping[str, typing.Any]) -> dict[str, bytes]:
     """Split a base file into parts, one for each service and one for the rest."""
     rest = {key: value for key, value in base.items() if key != "services"}
@@ -77,7 +124,7 @@
         "version": head.version,
         "writer": head.writer,
         "previous": head.previous,
-        "parts": dict(head.parts),
+        "parts": {name: list(hashes) for name, hashes in head.parts.items()},
     }
 
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -168,8 +168,10 @@
         """Write parts and a head straight into the platform stand-in."""
         named = {}
         for name, content in changes.items():
-            named[name] = parts.chunk_hash(content)
-            self._put("chunks/" + named[name], json.loads(content), create=True)
+            named[name] = parts.address(content)
+            for chunk in parts.split_content(content):
+                key = parts.CHUNK_PREFIX + parts.chunk_hash(chunk)
+                self._put(key, json.loads(chunk), create=True)
         head = parts.Head(version, f"rig-{version}", "", named)
         self._put("head", parts.head_document(head), create=version == 1)
 
