--- /dev/null
+++ b/jackdawpass/process/archive.py
@@ -0,0 +1,156 @@
+"""Reads the head, its history and the contents of parts from the platform."""
+
+import collections.abc
+import dataclasses
+import typing
+
+import msgspec
+from returns import result
+from twisted.internet import defer
+
+from jackdawpass import errors
+from jackdawpass.connection import platform_api
+from jackdawpass.version import parts
+
+# A day brings about 1,100 changes; a walk over two days takes a few seconds.
+MAX_CHAIN = 2_000
+
+EMPTY_HEAD = parts.Head(0, "", "", {})
+
+T = typing.TypeVar("T")
+Steps = typing.Generator[defer.Deferred[typing.Any], typing.Any, T]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Observed:
+    """A head and the version of the object that holds it.
+
+    Attributes
+    ----------
+    object_version : int
+        Condition for replacing the head; 0 when there is no head object yet.
+    """
+
+    head: parts.Head
+    object_version: int
+
+
+ObservedResult = result.Result[Observed, errors.PlatformError]
+HeadResult = result.Result[parts.Head, errors.ChangeError]
+HistoryResult = result.Result[tuple[parts.Head, ...], errors.PlatformError]
+ContentsResult = result.Result[dict[str, bytes], errors.PlatformError]
+
+
+class Archive:
+    """Reads through a cache of chunks, which never change.
+
+    Parameters
+    ----------
+    platform : PlatformApi
+        The platform's store.
+    """
+
+    def __init__(self, platform: platform_api.PlatformApi) -> None:
+        self._platform = platform
+        self._chunks: dict[str, bytes] = {}
+
+    @defer.inlineCallbacks
+    def read_head(self) -> Steps[ObservedResult]:
+        """Read the head; version 0 without parts when there is none."""
+        stored = yield self._platform.read(parts.HEAD_KEY)
+        if isinstance(stored, result.Failure):
+            if isinstance(stored.failure(), errors.ObjectMissing):
+                return result.Success(Observed(EMPTY_HEAD, 0))
+            return stored
+        head = parts.parse_head(stored.unwrap().value)
+        if head is None:
+            return result.Failure(errors.CorruptObject(parts.HEAD_KEY, "not a head"))
+        return result.Success(Observed(head, stored.unwrap().version))
+
+    @defer.inlineCallbacks
+    def history(
+        self, head: parts.Head, oldest: int, limit: int = MAX_CHAIN
+    ) -> Steps[HistoryResult]:
+        """Read the chain of heads from `head` back to version `oldest`.
+
+        Returns
+        -------
+        Result of tuple of Head or PlatformError
+            Newest first; at most `limit` heads.
+        """
+        chain = [head]
+        while chain[-1].previous and chain[-1].version > oldest and len(chain) < limit:
+            address = chain[-1].previous
+            read = yield self.chunk(address)
+            if isinstance(read, result.Failure):
+                return read
+            previous = parts.parse_head(msgspec.json.decode(read.unwrap()))
+            if previous is None or previous.version >= chain[-1].version:
+                key = parts.CHUNK_PREFIX + address
+                return result.Failure(errors.CorruptObject(key, "not an older head"))
+            chain.append(previous)
+        return result.Success(tuple(chain))
+
+    @defer.inlineCallbacks
+    def find(self, head: parts.Head, version: int) -> Steps[HeadResult]:
+        """Read the head of a version from the chain that ends in `head`."""
+        if not 1 <= version <= head.version:
+            return result.Failure(errors.VersionUnknown(version))
+        chain = yield self.history(head, version)
+        if isinstance(chain, result.Failure):
+            return chain
+        oldest = chain.unwrap()[-1]
+        if oldest.version != version:
+            return result.Failure(errors.VersionUnknown(version))
+        return result.Success(oldest)
+
+    @defer.inlineCallbacks
+    def contents(
+        self,
+        named: collections.abc.Mapping[str, tuple[str, ...]],
+    ) -> Steps[ContentsResult]:
+        """Read the content of each named part."""
+        found: dict[str, bytes] = {}
+        for name, hashes in named.items():
+            chunks = []
+            for address in hashes:
+                read = yield self.chunk(address)
+                if isinstance(read, result.Failure):
+                    return read
+                chunks.append(read.unwrap())
+            try:
+                found[name] = parts.join_content(chunks)
+            except (msgspec.DecodeError, UnicodeError) as error:
+                return result.Failure(errors.CorruptObject(name, str(error)))
+        return result.Success(found)
+
+    @defer.inlineCallbacks
+    def chunk(self, address: str) -> Steps[result.Result[bytes, errors.PlatformError]]:
+        """Read a chunk and compare it with its address."""
+        if address in self._chunks:
+            return result.Success(self._chunks[address])
+        key = parts.CHUNK_PREFIX + address
+        read = yield self._platform.read(key)
+        if isinstance(read, result.Failure):
+            return read
+        content = parts.encode(read.unwrap().value)
+        if parts.chunk_hash(content) != address:
+            return result.Failure(errors.CorruptObject(key, "its hash differs"))
+        self._chunks[address] = content
+        return result.Success(content)
+
+    @defer.inlineCallbacks
+    def store(self, content: bytes) -> Steps[result.Result[str, errors.PlatformError]]:
+        """Write a chunk unless it exists; return its address."""
+        address = parts.chunk_hash(content)
+        if address in self._chunks:
+            return result.Success(address)
+        written = yield self._platform.create(
+            parts.CHUNK_PREFIX + address, msgspec.json.decode(content)
+        )
+        if isinstance(written, result.Failure) and not isinstance(
+            written.failure(), errors.VersionConflict
+        ):
+            return written
+        self._chunks[address] = content
+        return result.Success(address)
