--- a/jackdawpass/cli.py
+++ b/jackdawpass/cli.py
@@ -5,13 +5,19 @@
 import typing
 
 from jackdawpass import __version__
-from jackdawpass.commands import demo, entry, stand_in
+from jackdawpass.commands import config, demo, entry, index, stand_in
 
 EXIT_DONE = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 
-COMMANDS: tuple[typing.Any, ...] = (entry, stand_in, demo)
+COMMANDS: tuple[typing.Any, ...] = (
+    entry,
+    config,
+    index,
+    stand_in,
+    demo,
+)
 
 
 def make_parser() -> argparse.ArgumentParser:
--- /dev/null
+++ b/jackdawpass/commands/config_read.py
@@ -0,0 +1,173 @@
+"""Operators' commands that read the configuration: check, diff, show, history."""
+
+import argparse
+import collections.abc
+import dataclasses
+import json
+
+import cattrs
+import msgspec
+from returns import result
+from twisted.internet import defer
+
+from jackdawpass import errors
+from jackdawpass.commands import comparison, console, files, session
+from jackdawpass.process import archive
+from jackdawpass.version import documents, parts
+
+JSON_INDENT = 2
+
+
+def check(arguments: argparse.Namespace) -> int:
+    """Check a base file and overlays without reaching the platform."""
+    loaded = {path: files.load(path) for path in (arguments.base, *arguments.overlays)}
+    faults = [
+        fault
+        for each in loaded.values()
+        if isinstance(each, result.Failure)
+        for fault in each.failure().faults
+    ]
+    if not faults:
+        decoded = {path: each.unwrap() for path, each in loaded.items()}
+        overlays = {path: decoded[path] for path in arguments.overlays}
+        faults.extend(documents.site_faults(decoded[arguments.base], overlays))
+    if faults:
+        error = errors.InvalidConfiguration(tuple(faults))
+        return console.show_failure(error, arguments.format)
+    text = f"valid: {', '.join(loaded)}"
+    report = console.Report({"valid": list(loaded)}, text)
+    return console.show_report(report, arguments.format)
+
+
+@defer.inlineCallbacks
+def diff_file(
+    part: str | None, path: str, current: session.Session
+) -> session.Steps[session.ReportResult]:
+    """Compare a base file, or the file of one part, with the accepted version."""
+    loaded = files.load(path)
+    if isinstance(loaded, result.Failure):
+        return loaded
+    reading = archive.Archive(current.platform)
+    read = yield read_contents(current, reading, None)
+    if isinstance(read, result.Failure):
+        return read
+    head, contents = read.unwrap()
+    accepted = parts.join_base(contents)
+    if part is not None:
+        accepted = msgspec.json.decode(contents.get(part, b"{}"))
+    differences = tuple(comparison.compare(accepted, loaded.unwrap()))
+    return result.Success(_differences(differences, f"version {head.version}", path))
+
+
+@defer.inlineCallbacks
+def diff_versions(
+    old: int, new: int, current: session.Session
+) -> session.Steps[session.ReportResult]:
+    """Compare all parts of two versions."""
+    reading = archive.Archive(current.platform)
+    compared = []
+    for version in (old, new):
+        read = yield read_contents(current, reading, version)
+        if isinstance(read, result.Failure):
+            return read
+        compared.append(files.part_documents(read.unwrap()[1]))
+    differences = tuple(comparison.compare(compared[0], compared[1]))
+    return result.Success(_differences(differences, f"version {old}", f"version {new}"))
+
+
+@defer.inlineCallbacks
+def show(
+    arguments: argparse.Namespace, current: session.Session
+) -> session.Steps[session.ReportResult]:
+    """Show the base, an overlay or the effective configuration of a site."""
+    reading = archive.Archive(current.platform)
+    read = yield read_contents(current, reading, arguments.version)
+    if isinstance(read, result.Failure):
+        return read
+    head, contents = read.unwrap()
+    chosen = _chosen(arguments, contents)
+    return chosen.map(lambda document: _shown(head.version, document))
+
+
+@defer.inlineCallbacks
+def history(
+    limit: int, current: session.Session
+) -> session.Steps[session.ReportResult]:
+    """Show the accepted versions, newest first, with the parts each changed."""
+    reading = archive.Archive(current.platform)
+    read = yield reading.read_head()
+    if isinstance(read, result.Failure):
+        return read
+    head = read.unwrap().head
+    # One more head tells what the oldest shown version changed.
+    chain = yield reading.history(head, 0, limit + 1)
+    if isinstance(chain, result.Failure):
+        return chain
+    entries = _entries(chain.unwrap(), limit)
+    text = "\n".join(
+        f"{entry['version']}  {entry['writer']}  {', '.join(entry['changed'])}"
+        for entry in entries
+    )
+    document = {"version": head.version, "history": entries}
+    return result.Success(console.Report(document, text or "no version yet"))
+
+
+@defer.inlineCallbacks
+def read_contents(
+    current: session.Session, reading: archive.Archive, version: int | None
+) -> session.Steps[
+    result.Result[tuple[parts.Head, dict[str, bytes]], errors.ChangeError]
+]:
+    """Read the head and the contents of a version; the current one when None."""
+    found = yield current.read_version(reading, version)
+    if isinstance(found, result.Failure):
+        return found
+    head = found.unwrap()
+    contents = yield reading.contents(head.parts)
+    return contents.map(lambda read: (head, read))
+
+
+def _chosen(
+    arguments: argparse.Namespace, contents: collections.abc.Mapping[str, bytes]
+) -> documents.Loaded:
+    base = parts.join_base(contents)
+    site = arguments.effective or arguments.overlay
+    if site is None:
+        return result.Success(base)
+    overlay = msgspec.json.decode(contents.get(parts.OVERLAY_PREFIX + site, b"{}"))
+    if arguments.overlay:
+        return result.Success(overlay)
+    return documents.effective(base, overlay).map(cattrs.unstructure)
+
+
+def _shown(version: int, document: documents.JsonObject) -> console.Report:
+    # The version is a comment, so that the output is a file that can be applied.
+    text = f"// version {version}\n{json.dumps(document, indent=JSON_INDENT)}"
+    return console.Report({"version": version, "configuration": document}, text)
+
+
+def _differences(
+    differences: collections.abc.Sequence[comparison.Difference], old: str, new: str
+) -> console.Report:
+    document = {
+        "old": old,
+        "new": new,
+        "differences": [dataclasses.asdict(each) for each in differences],
+    }
+    text = "\n".join(str(each) for each in differences)
+    return console.Report(document, text or f"no difference: {old} and {new}")
+
+
+def _entries(
+    chain: collections.abc.Sequence[parts.Head], limit: int
+) -> list[documents.JsonObject]:
+    older = (*chain[1:], archive.EMPTY_HEAD)
+    return [
+        {
+            "version": head.version,
+            "writer": head.writer,
+            "changed": sorted(parts.changed_parts(previous.parts, head.parts)),
+        }
+        for head, previous in zip(chain, older, strict=True)
+        if head.version
+    ][:limit]
--- /dev/null
+++ b/jackdawpass/commands/config_write.py
@@ -0,0 +1,81 @@
+"""Operators' commands that commit a version: apply, rollback, index publish."""
+
+import collections.abc
+
+from returns import result
+from twisted.internet import defer
+
+from jackdawpass.commands import config_read, console, files, session
+from jackdawpass.process import archive, store
+from jackdawpass.version import documents, parts
+
+MakeChanges = collections.abc.Callable[
+    [documents.JsonObject, parts.Head], files.Changes
+]
+
+
+@defer.inlineCallbacks
+def apply_file(
+    path: str,
+    make_changes: MakeChanges,
+    based_on: int | None,
+    current: session.Session,
+) -> session.Steps[session.ReportResult]:
+    """Commit the content of a file.
+
+    Parameters
+    ----------
+    path : str
+        File of JSON with comments.
+    make_changes : callable
+        Gives the changes for the file's document and the head it is based on.
+    based_on : int or None
+        Version that the file was edited from; the current one when None.
+    current : Session
+        Reaches the platform.
+    """
+    loaded = files.load(path)
+    if isinstance(loaded, result.Failure):
+        return loaded
+    reading = archive.Archive(current.platform)
+    seen = yield current.read_version(reading, based_on)
+    if isinstance(seen, result.Failure):
+        return seen
+    changes = make_changes(loaded.unwrap(), seen.unwrap())
+    return (yield _commit(changes, seen.unwrap(), current))
+
+
+@defer.inlineCallbacks
+def rollback(
+    version: int, current: session.Session
+) -> session.Steps[session.ReportResult]:
+    """Commit the content of an older version as a new version."""
+    reading = archive.Archive(current.platform)
+    head = yield current.read_version(reading, None)
+    if isinstance(head, result.Failure):
+        return head
+    old = yield config_read.read_contents(current, reading, version)
+    if isinstance(old, result.Failure):
+        return old
+    changes = files.rollback_changes(old.unwrap()[1], head.unwrap())
+    return (yield _commit(changes, head.unwrap(), current))
+
+
+@defer.inlineCallbacks
+def _commit(
+    changes: files.Changes, seen: parts.Head, current: session.Session
+) -> session.Steps[session.ReportResult]:
+    console.show_progress(f"committing {len(changes)} changed parts")
+    committed = yield store.commit(current.platform, changes, seen, current.timing)
+    return committed.map(lambda head: _accepted(head, seen, changes))
+
+
+def _accepted(
+    head: parts.Head, seen: parts.Head, changes: files.Changes
+) -> console.Report:
+    changed = sorted(changes) if head.version != seen.version else []
+    document = {"version": head.version, "writer": head.writer, "changed": changed}
+    if not changed:
+        return console.Report(document, f"unchanged: version {head.version}")
+    text = f"accepted as version {head.version}: {', '.join(changed)}"
+    return console.Report(document, text)
--- /dev/null
+++ b/jackdawpass/commands/session.py
@@ -0,0 +1,127 @@
+"""Runs an operators' command against the platform on the process's reactor."""
+
+import argparse
+import collections.abc
+import dataclasses
+import typing
+import urllib.parse
+
+from returns import result
+from twisted.internet import defer
+from twisted.python import failure
+
+from jackdawpass import errors
+from jackdawpass.commands import console
+from jackdawpass.connection import platform_api
+from jackdawpass.process import archive, pace
+from jackdawpass.version import parts
+
+DEFAULT_PLATFORM_URL = "http://127.0.0.1:8500"
+
+T = typing.TypeVar("T")
+Steps = typing.Generator[defer.Deferred[typing.Any], typing.Any, T]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """A failure outside the product's own error kinds."""
+
+    message: str
+
+    def __str__(self) -> str:
+        return self.message
+
+
+ReportResult = result.Result[console.Report, errors.ChangeError | Failed]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Session:
+    """What a command needs to reach the platform."""
+
+    reactor: typing.Any
+    platform: platform_api.PlatformApi
+    timing: pace.Pace
+
+    @defer.inlineCallbacks
+    def read_version(
+        self, reading: archive.Archive, version: int | None
+    ) -> Steps[archive.HeadResult]:
+        """Read the head of a version; of the current one when it is None."""
+        read = yield reading.read_head()
+        if isinstance(read, result.Failure):
+            return read
+        head: parts.Head = read.unwrap().head
+        if version is None or version == head.version:
+            return result.Success(head)
+        return (yield reading.find(head, version))
+
+
+Action = collections.abc.Callable[[Session], defer.Deferred[ReportResult]]
+
+
+def add_platform_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of every command that reaches the platform."""
+    parser.add_argument(
+        "--platform",
+        metavar="URL",
+        type=_platform_url,
+        default=DEFAULT_PLATFORM_URL,
+        help="address of the platform's object API (default: %(default)s)",
+    )
+    add_format_argument(parser)
+
+
+def add_format_argument(parser: argparse.ArgumentParser) -> None:
+    """Add the argument that selects the output format."""
+    parser.add_argument(
+        "--format",
+        choices=(console.JSON_FORMAT, console.TEXT_FORMAT),
+        default=console.TEXT_FORMAT,
+        help="output format (default: %(default)s)",
+    )
+
+
+def run(arguments: argparse.Namespace, action: Action) -> int:
+    """Run an action until it ends, print its outcome and return the exit code."""
+    from twisted.internet import reactor
+
+    outcomes: list[ReportResult | failure.Failure] = []
+    platform = platform_api.HttpPlatform(reactor, arguments.platform)
+    session = Session(reactor, platform, pace.of_reactor(reactor))
+
+    def begin() -> None:
+        running = defer.maybeDeferred(action, session)
+        running.addBoth(outcomes.append)
+        running.addBoth(lambda _: platform.close())
+        running.addBoth(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(begin)
+    reactor.run()
+    return _show(outcomes, arguments.format)
+
+
+def _show(outcomes: list[ReportResult | failure.Failure], output_format: str) -> int:
+    if not outcomes:
+        message = "interrupted; see `config history` for what was accepted"
+        return console.show_failure(Failed(message), output_format)
+    outcome = outcomes[0]
+    if isinstance(outcome, failure.Failure):
+        outcome.raiseException()
+        raise AssertionError("raiseException returned")
+    if isinstance(outcome, result.Failure):
+        return console.show_failure(outcome.failure(), output_format)
+    return console.show_report(outcome.unwrap(), output_format)
+
+
+def _platform_url(text: str) -> str:
+    try:
+        parsed = urllib.parse.urlsplit(text)
+        valid = parsed.scheme == "http" and bool(parsed.hostname) and parsed.port != 0
+    except ValueError:
+        valid = False
+    if not valid:
+        raise argparse.ArgumentTypeError(
+            f"{text!r} is not an address; use one such as {DEFAULT_PLATFORM_URL}"
+        )
+    return text
