Test commit races, lost replies and late writes

Commits had no tests. A fake platform whose calls a test answers one by one drives races, lost and dropped writes; a stateful test lets two commits interleave with writes that land late and replays the accepted changes naively. Files with repeated keys, NaN or infinite numbers are refused.

--- a/jackdawpass/commands/config_write.py
+++ b/jackdawpass/commands/config_write.py
@@ -10,7 +10,7 @@
 from jackdawpass.version import documents, parts
 
 MakeChanges = collections.abc.Callable[
-    [documents.JsonObject, parts.Head], files.Changes
+    [documents.JsonObject, parts.Head], files.MadeChanges
 ]
 
 
@@ -42,7 +42,9 @@
     if isinstance(seen, result.Failure):
         return seen
     changes = make_changes(loaded.unwrap(), seen.unwrap())
-    return (yield _commit(changes, seen.unwrap(), current))
+    if isinstance(changes, result.Failure):
+        return changes
+    return (yield _commit(changes.unwrap(), seen.unwrap(), current))
 
 
 @defer.inlineCallbacks
--- a/jackdawpass/commands/files.py
+++ b/jackdawpass/commands/files.py
@@ -10,6 +10,7 @@
 from jackdawpass.version import checker, documents, parts
 
 Changes = dict[str, bytes | None]
+MadeChanges = result.Result[Changes, errors.InvalidConfiguration]
 Checked = result.Result[str, errors.InvalidConfiguration]
 
 
@@ -33,11 +34,14 @@
     return result.Failure(errors.InvalidConfiguration((fault,)))
 
 
-def base_changes(base: documents.JsonObject, head: parts.Head) -> Changes:
+def base_changes(base: documents.JsonObject, head: parts.Head) -> MadeChanges:
     """Return the changes that make `base` the base of a head.
 
     A service that is removed takes its published index with it.
     """
+    faults = documents.site_faults(base, {})
+    if faults:
+        return result.Failure(errors.InvalidConfiguration(faults))
     wanted = parts.split_base(base)
     changes: Changes = {
         name: content
@@ -50,12 +54,12 @@
             index = parts.INDEX_PREFIX + name.removeprefix(parts.SERVICE_PREFIX)
             if index in head.parts:
                 changes[index] = None
-    return changes
+    return result.Success(changes)
 
 
-def document_changes(name: str, document: documents.JsonObject) -> Changes:
+def document_changes(name: str, document: documents.JsonObject) -> MadeChanges:
     """Return the change that makes a document the content of one part."""
-    return {name: parts.encode(document)}
+    return result.Success({name: parts.encode(document)})
 
 
 def rollback_changes(
--- a/jackdawpass/commands/index.py
+++ b/jackdawpass/commands/index.py
@@ -9,7 +9,6 @@
 from returns import result
 from twisted.internet import defer
 
-from jackdawpass import errors
 from jackdawpass.commands import config, config_read, console, files, session
 from jackdawpass.process import archive
 from jackdawpass.version import parts
@@ -65,7 +64,8 @@
     head = found.unwrap()
     name = parts.INDEX_PREFIX + service
     if name not in head.parts:
-        return result.Failure(errors.ObjectMissing(name))
+        message = f"service {service!r} has no published index; use `index publish`"
+        return result.Failure(session.Failed(message))
     read = yield reading.contents({name: head.parts[name]})
     return read.map(lambda contents: _report(head.version, contents[name]))
 
--- a/jackdawpass/version/documents.py
+++ b/jackdawpass/version/documents.py
@@ -5,10 +5,11 @@
 import typing
 
 import jsonc
+import msgspec
 from returns import result
 
 from jackdawpass import errors
-from jackdawpass.version import origins, schema
+from jackdawpass.version import origins, parts, schema
 
 JsonObject = dict[str, typing.Any]
 Loaded = result.Result[JsonObject, errors.InvalidConfiguration]
@@ -17,8 +18,11 @@
 def load_text(text: str, name: str) -> Loaded:
     """Decode JSON with comments; `name` is used in messages."""
     try:
-        document = jsonc.loads(text)
-    except (ValueError, RecursionError) as error:
+        document = jsonc.loads(
+            text, object_pairs_hook=_unique_keys, parse_constant=_refuse_constant
+        )
+        _require_storable(document)
+    except (ValueError, OverflowError, RecursionError) as error:
         reason = " ".join(str(error).split())
         fault = errors.Fault(name, f"is not valid JSON ({reason})", "correct the file")
         return result.Failure(errors.InvalidConfiguration((fault,)))
@@ -28,6 +32,25 @@
     return result.Success(document)
 
 
+def _require_storable(document: object) -> None:
+    # Infinite numbers and lone surrogates are accepted by the decoder.
+    if msgspec.json.decode(parts.encode(document)) != document:
+        raise ValueError("a number is too large")
+
+
+def _unique_keys(pairs: list[tuple[str, typing.Any]]) -> JsonObject:
+    found: JsonObject = {}
+    for key, value in pairs:
+        if key in found:
+            raise ValueError(f"key {key!r} is repeated")
+        found[key] = value
+    return found
+
+
+def _refuse_constant(text: str) -> typing.NoReturn:
+    raise ValueError(f"{text} is not a number")
+
+
 def merge(
     base: collections.abc.Mapping[str, typing.Any],
     overlay: collections.abc.Mapping[str, typing.Any],
--- /dev/null
+++ b/tests/process/test_store_stateful.py
@@ -0,0 +1,158 @@
+"""Two operators commit with lost, dropped and delayed writes."""
+
+import typing
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+from returns import result
+
+from jackdawpass import errors
+from jackdawpass.process import store
+from jackdawpass.version import parts, review
+from tests.process import fake_platform
+
+SITES = ("north", "south")
+REFUSALS = (
+    errors.ConflictingChange,
+    errors.InvalidConfiguration,
+    errors.CommitContended,
+)
+
+
+def _target(**settings: int) -> dict[str, typing.Any]:
+    return {"services": {"lots": {"targets": {"lots-a": settings}}}}
+
+
+def _overlay(connections: int) -> bytes:
+    return parts.encode(_target(connections=connections))
+
+
+# An overlay of 30 connections is invalid with a base for 40 instances.
+CHANGES: st.SearchStrategy[dict[str, bytes | None]] = st.one_of(
+    st.sampled_from([20, 30, 40]).map(
+        lambda count: {parts.DEFAULTS_PART: parts.encode({"instances_max": count})}
+    ),
+    st.tuples(st.sampled_from(SITES), st.sampled_from([30, 50])).map(
+        lambda chosen: {parts.OVERLAY_PREFIX + chosen[0]: _overlay(chosen[1])}
+    ),
+)
+
+
+class Commits(stateful.RuleBasedStateMachine):
+    """Compares the accepted heads with a naive replay of the changes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.objects = fake_platform.Store()
+        self.late: list[fake_platform.Call] = []
+        self.changes: dict[str, dict[str, bytes | None]] = {}
+        self.outcomes: dict[str, typing.Any] = {}
+        target = {"host": "127.0.0.1", "port": 9000, "zone": "a"}
+        base = {"services": {"lots": {"targets": {"lots-a": target}}}}
+        self._start(dict(parts.split_base(base)))
+        self._drain()
+
+    def _start(self, changes: dict[str, bytes | None]) -> None:
+        name = f"commit-{len(self.changes)}"
+        self.changes[name] = changes
+        client = fake_platform.Client(self.objects, name)
+        committing = store.commit(client, changes, None, fake_platform.no_wait(6))
+        committing.addCallback(lambda outcome: self.outcomes.update({name: outcome}))
+
+    def _drain(self) -> None:
+        while self.objects.calls:
+            self.objects.calls.pop(0).answer()
+
+    @property
+    def running(self) -> int:
+        return len(self.changes) - len(self.outcomes)
+
+    @stateful.precondition(lambda self: self.running < 2)
+    @stateful.rule(changes=CHANGES)
+    def start(self, changes: dict[str, bytes | None]) -> None:
+        self._start(changes)
+
+    @stateful.precondition(lambda self: self.objects.calls)
+    @stateful.rule(data=st.data(), count=st.integers(1, 8))
+    def answer(self, data: st.DataObject, count: int) -> None:
+        chosen = data.draw(st.sampled_from(self.objects.calls)).client
+        for _ in range(count):
+            mine = [call for call in self.objects.calls if call.client == chosen]
+            if mine:
+                self.objects.calls.remove(mine[0])
+                mine[0].answer()
+
+    @stateful.precondition(lambda self: self._head_writes())
+    @stateful.rule(data=st.data(), kind=st.sampled_from(["lose", "drop", "delay"]))
+    def disturb(self, data: st.DataObject, kind: str) -> None:
+        call = data.draw(st.sampled_from(self._head_writes()))
+        self.objects.calls.remove(call)
+        if kind == "lose":
+            call.lose_reply()
+            return
+        if kind == "delay":
+            self.late.append(call)
+        call.drop()
+
+    @stateful.precondition(lambda self: self.late)
+    @stateful.rule()
+    def land_late_write(self) -> None:
+        self.late.pop(0).apply()
+
+    def _head_writes(self) -> list[fake_platform.Call]:
+        return [
+            call
+            for call in self.objects.calls
+            if call.is_write and call.key == parts.HEAD_KEY
+        ]
+
+    @stateful.invariant()
+    def versions_are_totally_ordered(self) -> None:
+        versions = [head.version for _, head in self.objects.accepted]
+        assert versions == list(range(1, len(versions) + 1))
+
+    @stateful.invariant()
+    def each_change_is_applied_once_and_nothing_reverts(self) -> None:
+        names = [name for name, _ in self.objects.accepted]
+        assert len(set(names)) == len(names)
+        contents: dict[str, bytes] = {}
+        for name, head in self.objects.accepted:
+            for part, content in self.changes[name].items():
+                assert content is not None
+                contents[part] = content
+            replayed = {part: parts.address(each) for part, each in contents.items()}
+            assert head.parts == replayed
+            assert review.review(contents) == result.Success(None)
+
+    @stateful.invariant()
+    def no_change_overwrites_what_its_operator_did_not_see(self) -> None:
+        parts_of = [{}, *(head.parts for _, head in self.objects.accepted)]
+        for name, head in self.objects.accepted:
+            seen = parts_of[self.objects.first_seen[name]]
+            replaced = parts_of[head.version - 1]
+            for part in self.changes[name]:
+                expected = (seen.get(part), head.parts[part])
+                assert replaced.get(part) in expected
+
+    def teardown(self) -> None:
+        """Check every outcome once nothing is under way any more."""
+        self._drain()
+        for call in self.late:
+            call.apply()
+        accepted = dict(self.objects.accepted)
+        heads = list(accepted.values())
+        for name in self.changes:
+            outcome = self.outcomes[name]
+            if isinstance(outcome, result.Success):
+                assert outcome.unwrap() in heads
+                assert outcome.unwrap() == accepted.get(name, outcome.unwrap())
+            else:
+                assert isinstance(outcome.failure(), REFUSALS)
+                assert name not in accepted
+
+
+Commits.TestCase.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=40, deadline=None
+)
+TestCommits = Commits.TestCase
--- /dev/null
+++ b/tests/version/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what lives for one configuration version."""
