--- a/tests/process/test_store.py
+++ b/tests/process/test_store.py
@@ -163,6 +163,22 @@
     assert failed.writer == _head(objects).writer
 
 
+def test_broken_history_after_a_lost_reply_is_uncertain(
+    objects: fake_platform.Store,
+) -> None:
+    """Guards against a definite error while the outcome is unknown."""
+
+    def lose(call: fake_platform.Call) -> None:
+        call.apply()
+        _commit(objects, _connections(50)).unwrap()
+        del objects.objects[parts.CHUNK_PREFIX + _head(objects).previous]
+        call.drop()
+
+    _on_head_write(objects, lose)
+    failed = _commit(objects, _base(instances_max=20)).failure()
+    assert isinstance(failed, errors.CommitUncertain)
+
+
 def test_tries_are_bounded(objects: fake_platform.Store) -> None:
     """Guards against an operator who waits for ever behind other writers."""
     objects.on_call = fake_platform.Call.drop
