Test the time bound and settled doubt of commits

A commit whose dropped write is followed by a conflict is now expected to be refused for certain, and one that runs out of time to give up.

--- a/tests/process/test_store.py
+++ b/tests/process/test_store.py
@@ -1,6 +1,7 @@
 """Races between operators and lost replies."""
 
 import collections.abc
+import dataclasses
 import typing
 
 import pytest
@@ -179,6 +180,29 @@
     assert isinstance(failed, errors.CommitUncertain)
 
 
+def test_dropped_write_before_a_conflict_is_a_certain_refusal(
+    objects: fake_platform.Store,
+) -> None:
+    """Guards against doubt that the history has already settled."""
+
+    def drop(call: fake_platform.Call) -> None:
+        _commit(objects, _base(instances_max=25)).unwrap()
+        call.drop()
+
+    _on_head_write(objects, drop)
+    refused = _commit(objects, _base(instances_max=20)).failure()
+    assert isinstance(refused, errors.ConflictingChange)
+
+
+def test_time_is_bounded(objects: fake_platform.Store) -> None:
+    """Guards against tries that go on while a slow platform uses up the time."""
+    objects.on_call = fake_platform.Call.drop
+    times = iter([0.0, 0.0, pace.MAX_SECONDS])
+    timing = dataclasses.replace(fake_platform.no_wait(), now=lambda: next(times))
+    failed = _commit(objects, _connections(50), timing=timing).failure()
+    assert failed == errors.CommitContended(1, "lost")
+
+
 def test_tries_are_bounded(objects: fake_platform.Store) -> None:
     """Guards against an operator who waits for ever behind other writers."""
     objects.on_call = fake_platform.Call.drop
