--- a/tests/process/__init__.py
+++ b/tests/process/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of what lives for the process."""
+"""Tests of jackdawpass.process."""
--- a/tests/version/__init__.py
+++ b/tests/version/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of what lives for one configuration version."""
+"""Tests of jackdawpass.version."""
