--- a/jackdawpass/process/settings.py
+++ b/jackdawpass/process/settings.py
@@ -1,13 +1,16 @@
-"""Process settings of an entry instance."""
+"""Process settings of an entry instance, from a file, the environment and flags."""
 
+import collections.abc
 import dataclasses
+import json
 import typing
 
-import cattrs
 import jsonc
 from returns import result
 
-from jackdawpass import errors
+from jackdawpass import checked, errors
+
+ENVIRONMENT_PREFIX = "JACKDAWPASS_"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,6 +31,23 @@
         Base URL of the platform's object API.
     max_body_bytes : int
         Largest request body accepted from a caller.
+    drain_grace_seconds : float
+        Time from failing ``/readyz`` to closing the listening port; it must exceed
+        the time that the load balancer takes to notice.
+    drain_timeout_seconds : float
+        Longest time that running requests get after the listening port is closed.
+    log_share : float
+        Share of requests, from 0 to 1, whose lines may be logged.
+    log_lines_per_second : float
+        Average number of lines about sampled requests.
+    log_errors_per_second : float
+        Average number of error lines and lines about the process.
+    events : int
+        Number of events kept in memory for ``/v1/events``.
+    statsd_host, statsd_port : str, int
+        IP address and UDP port of the statsd server; port 0 sends no metrics.
+    statsd_prefix : str
+        Prefix of the metric names.
     """
 
     instance: str
@@ -37,16 +57,157 @@
     port: int = 0
     platform_url: str = "http://127.0.0.1:8500"
     max_body_bytes: int = 1024 * 1024
+    drain_grace_seconds: float = 5.0
+    drain_timeout_seconds: float = 60.0
+    log_share: float = 1.0
+    log_lines_per_second: float = 500.0
+    log_errors_per_second: float = 50.0
+    events: int = 20_000
+    statsd_host: str = "127.0.0.1"
+    statsd_port: int = 0
+    statsd_prefix: str = "jackdawpass"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Effective:
+    """Checked settings and the origin of each value."""
+
+    settings: EntrySettings
+    origins: collections.abc.Mapping[str, str]
 
 
 Parsed = result.Result[EntrySettings, errors.InvalidConfiguration]
+Loaded = result.Result[Effective, errors.InvalidConfiguration]
+
+FIELDS: dict[str, type] = typing.get_type_hints(EntrySettings)
+_CONVERTER = checked.make_converter()
 
 
 def parse(text: str) -> Parsed:
     """Check the text of a settings file, JSON with comments."""
+    return load(text, "settings file", {}, {}).map(lambda loaded: loaded.settings)
+
+
+def load(
+    text: str,
+    source: str,
+    environment: collections.abc.Mapping[str, str],
+    flags: collections.abc.Mapping[str, str],
+) -> Loaded:
+    """Merge settings in rising precedence: defaults, file, environment, flags.
+
+    Parameters
+    ----------
+    text : str
+        Content of the settings file, JSON with comments; empty for no file.
+    source : str
+        Name of the settings file, for messages.
+    environment : mapping of str to str
+        Environment; only variables with the product's prefix are read.
+    flags : mapping of str to str
+        Values of the flags that were given, by field name.
+
+    Returns
+    -------
+    Result of Effective or InvalidConfiguration
+        Holds every fault that was found, with path, origin and remedy.
+    """
+    try:
+        document: typing.Any = jsonc.loads(text) if text else {}
+    except ValueError as error:
+        return _failure([errors.Fault(source, str(error), "correct the JSON")])
+    if not isinstance(document, dict):
+        return _failure([errors.Fault(source, "is not an object", "use {...}")])
+    origins = {name: "default" for name in FIELDS}
+    origins.update({name: f"file {source}" for name in document})
+    faults = []
+    for name, value, origin in _overrides(environment, flags):
+        if name not in FIELDS:
+            known = (ENVIRONMENT_PREFIX + each.upper() for each in FIELDS)
+            remedy = checked.near_match(origin.split()[-1], known)
+            faults.append(errors.Fault(origin, "is unknown", remedy))
+            continue
+        document[name] = _decode(value, FIELDS[name])
+        origins[name] = origin
+    return _check(document, origins, faults)
+
+
+def flag(name: str) -> str:
+    """Return the flag that sets a field."""
+    return "--" + name.replace("_", "-")
+
+
+def _overrides(
+    environment: collections.abc.Mapping[str, str],
+    flags: collections.abc.Mapping[str, str],
+) -> typing.Iterator[tuple[str, str, str]]:
+    for variable, value in sorted(environment.items()):
+        if variable.startswith(ENVIRONMENT_PREFIX):
+            name = variable.removeprefix(ENVIRONMENT_PREFIX).lower()
+            yield name, value, f"environment {variable}"
+    for name, value in flags.items():
+        yield name, value, f"flag {flag(name)}"
+
+
+def _decode(text: str, kind: type) -> object:
+    """Return the JSON value of a variable or flag; strings need no quotes."""
+    if kind is str:
+        return text
+    try:
+        return json.loads(text)
+    except ValueError:
+        return text
+
+
+def _check(
+    document: object,
+    origins: collections.abc.Mapping[str, str],
+    faults: list[errors.Fault],
+) -> Loaded:
     try:
-        document: typing.Any = jsonc.loads(text)
-        return result.Success(cattrs.structure(document, EntrySettings))
+        settings = _CONVERTER.structure(document, EntrySettings)
     except Exception as error:
-        fault = errors.Fault("settings", str(error), "correct the settings file")
-        return result.Failure(errors.InvalidConfiguration((fault,)))
+        faults.extend(checked.faults(error))
+        return _failure(_with_origins(faults, origins))
+    faults.extend(_value_faults(settings))
+    if faults:
+        return _failure(_with_origins(faults, origins))
+    return result.Success(Effective(settings, origins))
+
+
+def _with_origins(
+    faults: collections.abc.Iterable[errors.Fault],
+    origins: collections.abc.Mapping[str, str],
+) -> list[errors.Fault]:
+    labelled = []
+    for fault in faults:
+        origin = origins.get(fault.path.split(".")[0], "default")
+        path = fault.path if origin == "default" else f"{fault.path} ({origin})"
+        labelled.append(dataclasses.replace(fault, path=path))
+    return labelled
+
+
+def _failure(faults: collections.abc.Iterable[errors.Fault]) -> Loaded:
+    return result.Failure(errors.InvalidConfiguration(tuple(faults)))
+
+
+def _value_faults(settings: EntrySettings) -> typing.Iterator[errors.Fault]:
+    for name in ("instance", "zone", "site"):
+        if not getattr(settings, name):
+            yield errors.Fault(name, "is empty", "name it")
+    if not settings.platform_url.startswith(("http://", "https://")):
+        remedy = "use http://HOST:PORT"
+        yield errors.Fault("platform_url", "is not an HTTP URL", remedy)
+    ranges: dict[str, tuple[float, float]] = {
+        "port": (0, 65_535),
+        "statsd_port": (0, 65_535),
+        "max_body_bytes": (1, 1 << 30),
+        "drain_grace_seconds": (0, 3600),
+        "drain_timeout_seconds": (0, 3600),
+        "log_share": (0, 1),
+        "log_lines_per_second": (0, 1e6),
+        "log_errors_per_second": (0, 1e6),
+        "events": (1, 10_000_000),
+    }
+    for name, (low, high) in ranges.items():
+        yield from checked.in_range(name, getattr(settings, name), low, high)
