--- /dev/null
+++ b/jackdawpass/process/logs.py
@@ -0,0 +1,273 @@
+"""Log of the process: eliot JSON lines on standard output, bounded in volume."""
+
+import collections
+import os
+import stat
+import typing
+
+import eliot
+import msgspec
+import xxhash
+
+from jackdawpass import clock
+
+MAX_BUFFER_BYTES = 256 * 1024
+# Requests that never finish must not keep their sampling decisions for ever.
+MAX_DECISIONS = 100_000
+REPORT_SECONDS = 1.0
+_HASH_RANGE = 1 << 32
+
+
+class LineBudget:
+    """Token bucket of log lines that may go into debt.
+
+    A sampled request logs all of its lines, so they may exceed the tokens; the debt
+    is repaid before the next request is sampled.
+    """
+
+    def __init__(self, per_second: float) -> None:
+        self._per_second = per_second
+        self._tokens = per_second
+        self._at: float | None = None
+
+    def available(self, now: float) -> bool:
+        """Return whether at least one whole token is left."""
+        elapsed = 0.0 if self._at is None else max(0.0, now - self._at)
+        self._at = now
+        refilled = self._tokens + elapsed * self._per_second
+        self._tokens = min(self._per_second, refilled)
+        return self._tokens >= 1
+
+    def spend(self) -> None:
+        """Take one token."""
+        self._tokens -= 1
+
+
+class Sampler:
+    """Decides which lines are written.
+
+    Parameters
+    ----------
+    share : float
+        Share of requests, from 0 to 1, chosen by the hash of their id.
+    lines_per_second : float
+        Average number of lines about requests.
+    errors_per_second : float
+        Average number of error lines and of lines about no request.
+    """
+
+    def __init__(
+        self, share: float, lines_per_second: float, errors_per_second: float
+    ) -> None:
+        self._threshold = share * _HASH_RANGE
+        self._lines = LineBudget(lines_per_second)
+        self._errors = LineBudget(errors_per_second)
+        self._decisions: collections.OrderedDict[str, bool] = collections.OrderedDict()
+        self._dropped: collections.Counter[str] = collections.Counter()
+
+    def admit(self, now: float, request_id: str, error: bool) -> bool:
+        """Return whether to write a line; one decision holds for a whole request."""
+        if request_id and self._sampled(now, request_id):
+            self._lines.spend()
+            return True
+        if (error or not request_id) and self._errors.available(now):
+            self._errors.spend()
+            return True
+        self._dropped["error" if error else "info"] += 1
+        return False
+
+    def forget(self, request_id: str) -> None:
+        """Drop the decision about a finished request."""
+        self._decisions.pop(request_id, None)
+
+    def take_dropped(self) -> dict[str, int]:
+        """Return and reset the numbers of lines dropped, by level."""
+        dropped = dict(self._dropped)
+        self._dropped.clear()
+        return dropped
+
+    def _sampled(self, now: float, request_id: str) -> bool:
+        decision = self._decisions.get(request_id)
+        if decision is None:
+            chosen = xxhash.xxh32_intdigest(request_id.encode()) < self._threshold
+            decision = chosen and self._lines.available(now)
+            self._decisions[request_id] = decision
+            if len(self._decisions) > MAX_DECISIONS:
+                self._decisions.popitem(last=False)
+        return decision
+
+
+class LineWriter:
+    """Writes lines to a descriptor without waiting for its reader.
+
+    A pipe whose reader is slow would otherwise block the event loop. Lines beyond the
+    buffer are dropped and counted.
+
+    Attributes
+    ----------
+    held : bool
+        True while lines are only collected, until another line has been printed.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        self.held = False
+        self._descriptor = descriptor
+        self._buffer = bytearray()
+        self._dropped = 0
+        mode = os.fstat(descriptor).st_mode
+        if stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode):
+            os.set_blocking(descriptor, False)
+
+    def __call__(self, message: dict[str, typing.Any]) -> None:
+        """Write one eliot message."""
+        line = msgspec.json.encode(message, enc_hook=str) + b"\n"
+        if len(self._buffer) + len(line) > MAX_BUFFER_BYTES:
+            self.flush()
+        if len(self._buffer) + len(line) > MAX_BUFFER_BYTES:
+            self._dropped += 1
+            return
+        self._buffer += line
+        self.flush()
+
+    def flush(self) -> None:
+        """Write what the reader accepts now."""
+        if self.held:
+            return
+        try:
+            while self._buffer:
+                written = os.write(self._descriptor, self._buffer)
+                del self._buffer[:written]
+        except BlockingIOError:
+            return
+        except OSError:
+            # The reader is gone; the log has no other place to report that.
+            self._buffer.clear()
+
+    def take_dropped(self) -> int:
+        """Return and reset the number of lines dropped for a slow reader."""
+        dropped, self._dropped = self._dropped, 0
+        return dropped
+
+
+class Log:
+    """The log of one process.
+
+    Parameters
+    ----------
+    writer : LineWriter
+        Receives the lines that are written.
+    sampler : Sampler
+        Bounds their number.
+    instance, zone : str
+        Stand in every line.
+    """
+
+    def __init__(
+        self, writer: LineWriter, sampler: Sampler, instance: str, zone: str
+    ) -> None:
+        self._writer = writer
+        self._sampler = sampler
+        self._fields = {"instance": instance, "zone": zone}
+        self._reported_at = 0.0
+        self.configuration_version = 0
+
+    def write(
+        self,
+        now: float,
+        message_type: str,
+        level: str,
+        request_id: str,
+        fields: dict[str, typing.Any],
+    ) -> None:
+        """Write a line unless the sampler drops it."""
+        if not self._sampler.admit(now, request_id, level == "error"):
+            return
+        if request_id:
+            fields["request_id"] = request_id
+        self._emit(message_type, level=level, **fields)
+
+    def hold(self) -> None:
+        """Collect lines without writing them."""
+        self._writer.held = True
+
+    def release(self) -> None:
+        """Write the collected lines."""
+        self._writer.held = False
+        self._writer.flush()
+
+    def finish_request(self, request_id: str) -> None:
+        """Forget the sampling decision about a request."""
+        self._sampler.forget(request_id)
+
+    def tick(self, now: float) -> None:
+        """Flush, and report at most once a second what was dropped."""
+        self._writer.flush()
+        if now - self._reported_at < REPORT_SECONDS:
+            return
+        self._reported_at = now
+        dropped = self._sampler.take_dropped()
+        slow_reader = self._writer.take_dropped()
+        if slow_reader:
+            dropped["slow_reader"] = slow_reader
+        if dropped:
+            self._emit("log_lines_dropped", logger=__name__, dropped=dropped)
+
+    def _emit(self, message_type: str, **fields: typing.Any) -> None:
+        eliot.log_message(
+            message_type,
+            configuration_version=self.configuration_version,
+            **self._fields,
+            **fields,
+        )
+
+
+class ModuleLogger:
+    """Logger of one module; writes nothing until `configure` was called."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+
+    def info(
+        self, message_type: str, request_id: str = "", **fields: typing.Any
+    ) -> None:
+        """Log normal operation."""
+        self._write(message_type, "info", request_id, fields)
+
+    def error(
+        self, message_type: str, request_id: str = "", **fields: typing.Any
+    ) -> None:
+        """Log a failure, kept up to a rate even when its request is not sampled."""
+        self._write(message_type, "error", request_id, fields)
+
+    def _write(
+        self,
+        message_type: str,
+        level: str,
+        request_id: str,
+        fields: dict[str, typing.Any],
+    ) -> None:
+        if _current is not None:
+            fields["logger"] = self._name
+            _current.write(clock.monotonic(), message_type, level, request_id, fields)
+
+
+_current: Log | None = None
+
+
+def get_logger(name: str) -> ModuleLogger:
+    """Return the logger of a module, named by its ``__name__``."""
+    return ModuleLogger(name)
+
+
+def configure(instance: str, zone: str, sampler: Sampler, descriptor: int = 1) -> Log:
+    """Start the log of this process."""
+    global _current
+    writer = LineWriter(descriptor)
+    eliot.add_destinations(writer)
+    _current = Log(writer, sampler, instance, zone)
+    return _current
+
+
+def current() -> Log | None:
+    """Return the log of this process, or None before `configure`."""
+    return _current
--- /dev/null
+++ b/jackdawpass/process/metrics.py
@@ -0,0 +1,163 @@
+"""Metrics over the statsd protocol, which never block the event loop."""
+
+import dataclasses
+import enum
+import socket
+import typing
+
+import statsd
+
+MAX_DATAGRAM_BYTES = 1432
+
+
+class Kind(enum.Enum):
+    """Type of a metric in the statsd protocol."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    TIMING = "timing"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Description:
+    """Type, unit and meaning of a metric; ``<x>`` in a name stands for a value."""
+
+    kind: Kind
+    unit: str
+    meaning: str
+
+
+DESCRIPTIONS: dict[str, Description] = {
+    "requests": Description(Kind.COUNTER, "requests", "requests accepted"),
+    "requests.in_flight": Description(Kind.GAUGE, "requests", "requests running"),
+    "outcomes.<outcome>": Description(
+        Kind.COUNTER,
+        "requests",
+        "finished requests: complete, partial, not_run, unknown, incomplete, gone",
+    ),
+    "latency": Description(
+        Kind.TIMING, "milliseconds", "from acceptance to the outcome of a request"
+    ),
+    "coverage": Description(
+        Kind.GAUGE, "percent of shards", "coverage of the last answer"
+    ),
+    "attempts.<kind>": Description(
+        Kind.COUNTER,
+        "sub-requests",
+        "sub-requests queued: first, hedge, retry, restart; all but first are extra",
+    ),
+    "failures.<kind>": Description(
+        Kind.COUNTER, "sub-requests", "failed sub-requests by kind of failure"
+    ),
+    "cancelled": Description(Kind.COUNTER, "sub-requests", "cancelled sub-requests"),
+    "limits.<target>": Description(
+        Kind.GAUGE, "sub-requests", "concurrency limit of a target"
+    ),
+    "budgets.<service>": Description(
+        Kind.GAUGE, "sub-requests", "extra sub-requests that the budget allows now"
+    ),
+    "ejections.<target>": Description(
+        Kind.COUNTER, "ejections", "times that a target was ejected"
+    ),
+    "platform_calls.<call>": Description(
+        Kind.COUNTER, "calls", "calls to the platform's object API"
+    ),
+    "configuration_version": Description(
+        Kind.GAUGE, "version", "configuration version in force"
+    ),
+}
+"""All metrics; those of limits, budgets, ejections and platform calls are sent by the
+modules that own them."""
+
+
+class Metrics(typing.Protocol):
+    """Receives measurements; no call blocks or raises."""
+
+    def counter(self, name: str, value: int = 1) -> None:
+        """Add to a counter."""
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+
+    def timing(self, name: str, seconds: float) -> None:
+        """Note a duration in seconds; it is sent in milliseconds."""
+
+
+class NoMetrics:
+    """Drops all measurements."""
+
+    def counter(self, name: str, value: int = 1) -> None:
+        """Do nothing."""
+
+    def gauge(self, name: str, value: float) -> None:
+        """Do nothing."""
+
+    def timing(self, name: str, seconds: float) -> None:
+        """Do nothing."""
+
+
+class _Client(statsd.StatsClient):
+    """The statsd client on a non-blocking socket.
+
+    The library's socket blocks when its send buffer is full. A datagram that cannot
+    be sent at once is dropped and counted instead.
+    """
+
+    def __init__(self, host: str, port: int, prefix: str) -> None:
+        super().__init__(host, port, prefix, maxudpsize=MAX_DATAGRAM_BYTES)
+        self._sock.setblocking(False)
+        self.dropped = 0
+
+    def _send(self, data: str) -> None:  # type: ignore[override]
+        try:
+            self._sock.sendto(data.encode("ascii", "replace"), self._addr)
+        except OSError:
+            self.dropped += 1
+
+
+class StatsdMetrics:
+    """Sends measurements to a statsd server.
+
+    Parameters
+    ----------
+    host : str
+        IP address; a name is rejected, since looking it up could block.
+    port : int
+        UDP port.
+    prefix : str
+        Prefix of all names.
+
+    Raises
+    ------
+    ValueError
+        If `host` is not an IPv4 address.
+    """
+
+    def __init__(self, host: str, port: int, prefix: str) -> None:
+        try:
+            socket.inet_aton(host)
+        except OSError:
+            raise ValueError(f"{host!r} is not an IPv4 address") from None
+        self._client = _Client(host, port, prefix)
+
+    @property
+    def dropped(self) -> int:
+        """Number of datagrams that could not be sent."""
+        return self._client.dropped
+
+    def counter(self, name: str, value: int = 1) -> None:
+        """Add to a counter."""
+        self._client.incr(name, value)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self._client.gauge(name, value)
+
+    def timing(self, name: str, seconds: float) -> None:
+        """Note a duration in seconds; it is sent in milliseconds."""
+        self._client.timing(name, seconds * 1000)
+
+
+def make(host: str, port: int, prefix: str) -> Metrics:
+    """Return metrics to a statsd server, or none for port 0."""
+    return StatsdMetrics(host, port, prefix) if port else NoMetrics()
--- a/jackdawpass/request/runner.py
+++ b/jackdawpass/request/runner.py
@@ -5,7 +5,7 @@
 import typing
 
 from jackdawpass import clock
-from jackdawpass.request import machine, model, problems
+from jackdawpass.request import machine, model, problems, trace
 
 OnFinish = collections.abc.Callable[[model.Answer | problems.Problem], None]
 
@@ -54,6 +54,8 @@
         Encoded query shared by all sub-requests.
     on_finish : callable
         Called once with the outcome, unless the caller has gone.
+    observer : Trace or None
+        Is told what happens; None for nobody.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         submitter: Submitter,
         query: bytes,
         on_finish: OnFinish,
+        observer: trace.Trace | None = None,
     ) -> None:
         self._reactor = reactor
         self._states = states
@@ -74,6 +77,7 @@
         self._pending: collections.deque[machine.Action] = collections.deque()
         self._performing = False
         self._timer: typing.Any = None
+        self._trace: trace.Trace = observer or trace.NoTrace()
 
     def start(self) -> None:
         """Begin the request."""
@@ -81,19 +85,25 @@
 
     def caller_gone(self) -> None:
         """Cancel what the machine gives up for a caller that went away."""
+        self._trace.caller_gone()
         self._perform(self._states.on_caller_gone(clock.monotonic()))
+        if not self._unended:
+            self._trace.abandoned()
 
     def on_sent(self, attempt_id: int) -> None:
         """Pass on that an attempt may have been read."""
+        self._trace.sent(attempt_id)
         self._perform(self._states.on_sent(clock.monotonic(), attempt_id))
 
     def on_reply(self, attempt_id: int, reply: model.SubReply) -> None:
         """Pass on a reply."""
+        self._trace.replied(attempt_id)
         self._end(attempt_id)
         self._perform(self._states.on_reply(clock.monotonic(), attempt_id, reply))
 
     def on_failure(self, attempt_id: int, failure: model.AttemptFailure) -> None:
         """Pass on a failure."""
+        self._trace.failed(attempt_id, failure)
         self._end(attempt_id)
         self._perform(self._states.on_failure(clock.monotonic(), attempt_id, failure))
 
@@ -121,6 +131,7 @@
             case machine.Cancel(attempt_id):
                 ticket = self._end(attempt_id)
                 if ticket is not None:
+                    self._trace.cancelled(attempt_id)
                     ticket.cancel()
             case machine.WakeAt(at):
                 self._set_timer(at)
@@ -129,6 +140,7 @@
 
     def _send(self, attempt: model.Attempt) -> None:
         # The attempt may end before `submit` returns; its ticket is then of no use.
+        self._trace.queued(attempt)
         self._unended.add(attempt.attempt_id)
         ticket = self._submitter.submit(attempt, self._query, self)
         if attempt.attempt_id in self._unended:
@@ -146,10 +158,12 @@
 
     def _on_timer(self) -> None:
         self._timer = None
+        self._trace.timer()
         self._perform(self._states.on_timer(clock.monotonic()))
 
     def _finish(self, outcome: model.Answer | problems.Problem) -> None:
         self._stop_timer()
         on_finish, self._on_finish = self._on_finish, None
         if on_finish is not None:
+            self._trace.finished(outcome)
             on_finish(outcome)
