Shut down without cutting off requests and add operators' commands

Cause: SIGTERM closed the port and stopped the reactor while queries ran. The rig reads the standard output of its processes, since a full pipe now carries log lines. Conclusion: a planned stop is graceful, within a bounded wait.

--- a/jackdawpass/cli.py
+++ b/jackdawpass/cli.py
@@ -2,21 +2,35 @@
 
 import argparse
 import collections.abc
+import sys
 import typing
 
 from jackdawpass import __version__
-from jackdawpass.commands import demo, entry, stand_in
-
-EXIT_DONE = 0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
-
-COMMANDS: tuple[typing.Any, ...] = (entry, stand_in, demo)
+from jackdawpass.commands import (
+    console,
+    demo,
+    drain,
+    entry,
+    query,
+    stand_in,
+    status,
+    version,
+)
+
+COMMANDS: tuple[typing.Any, ...] = (
+    entry,
+    query,
+    status,
+    drain,
+    version,
+    stand_in,
+    demo,
+)
 
 
 def make_parser() -> argparse.ArgumentParser:
     """Return the parser of all commands."""
-    parser = argparse.ArgumentParser(prog="jackdawpass", description=__doc__)
+    parser = console.Parser(prog="jackdawpass", description=__doc__)
     parser.add_argument("--version", action="version", version=__version__)
     subparsers = parser.add_subparsers(dest="command", required=True)
     for command in COMMANDS:
@@ -26,5 +40,16 @@
 
 def main(argv: collections.abc.Sequence[str] | None = None) -> int:
     """Run one command and return its exit code: 0 done, 1 failed, 2 usage."""
-    arguments = make_parser().parse_args(argv)
-    return int(arguments.run(arguments))
+    arguments, unknown = make_parser().parse_known_args(argv)
+    if unknown:
+        arguments.parser.reject(unknown)
+    try:
+        return int(arguments.run(arguments))
+    except console.Failed as error:
+        return console.fail(str(error))
+    except console.Usage as error:
+        return console.fail(str(error), console.EXIT_USAGE)
+    except BrokenPipeError:
+        # The reader of the output, such as `head`, has closed it.
+        sys.stderr.close()
+        return console.EXIT_FAILED
--- a/jackdawpass/commands/demo.py
+++ b/jackdawpass/commands/demo.py
@@ -10,6 +10,7 @@
 from twisted.internet import defer, task
 from twisted.web import client
 
+from jackdawpass.commands import console
 from jackdawpass.connection import platform_api
 from jackdawpass.process import entry, policy, settings, store
 from jackdawpass.standins import platform, target
@@ -26,7 +27,9 @@
 
 def add_parser(subparsers: typing.Any) -> None:
     """Add the command to the parser."""
-    parser = subparsers.add_parser("demo", help=__doc__)
+    parser = console.add_command(
+        subparsers, "demo", __doc__, "example:\n  jackdawpass demo\n"
+    )
     parser.set_defaults(run=run)
 
 
--- /dev/null
+++ b/jackdawpass/commands/drain.py
@@ -0,0 +1,64 @@
+"""Command `drain`: shut an entry instance down gracefully."""
+
+import argparse
+import json
+import time
+import typing
+
+from jackdawpass import clock
+from jackdawpass.commands import console
+
+EXAMPLE = """example:
+  jackdawpass drain 127.0.0.1:8080 --wait-seconds 90
+"""
+DEFAULT_WAIT_SECONDS = 90.0
+POLL_SECONDS = 0.1
+
+
+def add_parser(subparsers: typing.Any) -> None:
+    """Add the command to the parser."""
+    parser = console.add_command(subparsers, "drain", __doc__, EXAMPLE)
+    parser.add_argument("address", type=console.address, metavar="HOST:PORT")
+    parser.add_argument(
+        "--wait-seconds",
+        type=float,
+        default=DEFAULT_WAIT_SECONDS,
+        help="longest time to wait for the end; 0 does not wait",
+    )
+    console.add_format(parser)
+    parser.set_defaults(run=run)
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Begin to drain and wait until the instance no longer listens."""
+    reply = console.call(arguments.address, "POST", "/v1/drain")
+    if reply.status != 202:
+        raise console.Failed(
+            f"the instance refused to drain (HTTP status {reply.status}); check that "
+            "an entry instance listens there"
+        )
+    if arguments.wait_seconds > 0:
+        _wait(arguments.address, arguments.wait_seconds)
+        state = "drained"
+    else:
+        state = "draining"
+    instance = reply.document["instance"]
+    if arguments.format == "json":
+        print(json.dumps({"instance": instance, "state": state}))
+    else:
+        print(f"{instance} is {state}")
+    return console.EXIT_DONE
+
+
+def _wait(where: tuple[str, int], seconds: float) -> None:
+    deadline = clock.monotonic() + seconds
+    while clock.monotonic() < deadline:
+        try:
+            console.call(where, "GET", "/v1/status")
+        except console.Failed:
+            return
+        time.sleep(POLL_SECONDS)
+    raise console.Failed(
+        f"the instance still listens after {seconds:g} s; wait longer or look at "
+        "its log"
+    )
--- a/jackdawpass/commands/entry.py
+++ b/jackdawpass/commands/entry.py
@@ -1,45 +1,121 @@
 """Command `entry`: run one entry instance."""
 
 import argparse
+import dataclasses
 import json
+import os
 import pathlib
 import signal
-import sys
 import typing
 
-from jackdawpass.process import entry, policy, settings
+from returns import result
+
+from jackdawpass.commands import console
+from jackdawpass.process import entry, logs, policy, settings
+
+EXAMPLE = """example:
+  jackdawpass entry --settings entry.json --zone a --check
+
+Settings come from these sources; a later one takes precedence:
+  1. defaults
+  2. the file of --settings (JSON with comments)
+  3. environment variables JACKDAWPASS_<NAME>
+  4. flags
+"""
 
 
 def add_parser(subparsers: typing.Any) -> None:
     """Add the command to the parser."""
-    parser = subparsers.add_parser("entry", help=__doc__)
-    parser.add_argument("--settings", required=True, help="settings file")
+    parser = console.add_command(subparsers, "entry", __doc__, EXAMPLE)
+    parser.add_argument("--settings", help="settings file, JSON with comments")
+    parser.add_argument(
+        "--check",
+        action="store_true",
+        help="print the effective settings with their origins and exit",
+    )
+    console.add_format(parser)
+    for name, kind in settings.FIELDS.items():
+        parser.add_argument(
+            settings.flag(name), dest=f"setting_{name}", metavar=kind.__name__.upper()
+        )
     parser.set_defaults(run=run)
 
 
 def run(arguments: argparse.Namespace) -> int:
     """Run an entry instance until it is told to stop."""
-    from twisted.internet import reactor
-
-    text = pathlib.Path(arguments.settings).read_text(encoding="utf-8")
-    parsed = settings.parse(text)
-    options = parsed.value_or(None)
-    if options is None:
-        print(parsed.failure(), file=sys.stderr)
-        return 1
+    loaded = _load(arguments)
+    if isinstance(loaded, result.Failure):
+        return console.fail(str(loaded.failure()))
+    effective = loaded.unwrap()
+    if arguments.check:
+        _print_settings(effective, arguments.format)
+        return console.EXIT_DONE
+    return _serve(effective.settings)
+
+
+def _load(arguments: argparse.Namespace) -> settings.Loaded:
+    flags = {
+        name: value
+        for name in settings.FIELDS
+        if (value := getattr(arguments, f"setting_{name}")) is not None
+    }
+    text = ""
+    if arguments.settings is not None:
+        try:
+            text = pathlib.Path(arguments.settings).read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            raise console.Failed(
+                f"cannot read the settings file {arguments.settings!r} ({error}); "
+                "check its path and permissions"
+            ) from None
+    return settings.load(text, arguments.settings or "", os.environ, flags)
+
+
+def _print_settings(effective: settings.Effective, output: str) -> None:
+    values = dataclasses.asdict(effective.settings)
+    rows = [
+        {"name": name, "value": value, "origin": effective.origins[name]}
+        for name, value in values.items()
+    ]
+    console.show(rows, output)
+
+
+def _serve(options: settings.EntrySettings) -> int:
+    from twisted.internet import error, reactor
+
+    sampler = logs.Sampler(
+        options.log_share, options.log_lines_per_second, options.log_errors_per_second
+    )
+    log = logs.configure(options.instance, options.zone, sampler)
+    # Whoever starts an instance reads its port from the first line.
+    log.hold()
     instance = entry.Entry(reactor, options, policy.PlainPolicy(options.zone))
-    instance.start()
+    try:
+        instance.start()
+    except error.CannotListenError as failure:
+        raise console.Failed(
+            f"cannot listen on {options.host}:{options.port} "
+            f"({failure.socketError}); choose a free port"
+        ) from None
     print(json.dumps({"port": instance.port}), flush=True)
-    _stop_on_signals(reactor, instance)
+    log.release()
+    outcomes = _stop_when_drained(reactor, instance)
     reactor.run(installSignalHandlers=False)  # type: ignore[call-arg]
-    return 0
+    return console.EXIT_DONE if outcomes == [True] else console.EXIT_FAILED
 
 
-def _stop_on_signals(reactor: typing.Any, instance: entry.Entry) -> None:
-    def stop(*_: object) -> None:
-        reactor.callFromThread(
-            lambda: instance.stop().addBoth(lambda _: reactor.stop())
-        )
+def _stop_when_drained(reactor: typing.Any, instance: entry.Entry) -> list[bool]:
+    outcomes: list[bool] = []
+
+    def on_drained(finished: bool) -> typing.Any:
+        outcomes.append(finished)
+        return instance.stop()
+
+    instance.drained.addCallback(on_drained).addBoth(lambda _: reactor.stop())
+
+    def on_signal(*_: object) -> None:
+        reactor.callFromThread(instance.drain)
 
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGINT, stop)
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    return outcomes
--- /dev/null
+++ b/jackdawpass/commands/query.py
@@ -0,0 +1,105 @@
+"""Command `query`: send one query and print its answer."""
+
+import argparse
+import json
+import typing
+import urllib.parse
+
+from jackdawpass.commands import console
+
+EXAMPLE = """example:
+  jackdawpass query 127.0.0.1:8080 lots '{"text": "offers"}' --limit 5
+"""
+# The reply follows the deadline; the rest covers the way there and back.
+TIMEOUT_MARGIN_SECONDS = 5.0
+DEFAULT_WAIT_SECONDS = 60.0
+
+
+def add_parser(subparsers: typing.Any) -> None:
+    """Add the command to the parser."""
+    parser = console.add_command(subparsers, "query", __doc__, EXAMPLE)
+    parser.add_argument("address", type=console.address, metavar="HOST:PORT")
+    parser.add_argument("service", help="name of the service")
+    parser.add_argument("query", help="JSON value, or text that is sent as a string")
+    parser.add_argument("--timeout-ms", type=int, help="deadline in milliseconds")
+    parser.add_argument("--limit", type=int, help="largest number of results")
+    parser.add_argument("--min-coverage", type=float, help="share of shards, 0 to 1")
+    parser.add_argument("--shard-key", help="shard of a non-idempotent request")
+    parser.add_argument(
+        "--non-idempotent", action="store_true", help="run at most once"
+    )
+    parser.add_argument("--idempotency-key", help="recognises a repeated request")
+    console.add_format(parser)
+    parser.set_defaults(run=run)
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Send the query; return 0 for an answer and 1 for any other outcome."""
+    wait = DEFAULT_WAIT_SECONDS
+    if arguments.timeout_ms is not None:
+        wait = max(0.0, arguments.timeout_ms / 1000) + TIMEOUT_MARGIN_SECONDS
+    reply = console.call(
+        arguments.address,
+        "POST",
+        f"/v1/services/{_path_part(arguments.service)}/query",
+        _document(arguments),
+        _headers(arguments),
+        wait,
+    )
+    if reply.status != 200:
+        if arguments.format == "json":
+            print(json.dumps(reply.document, indent=2))
+        return console.fail(_problem_line(reply))
+    _print(reply.document, arguments.format)
+    return console.EXIT_DONE
+
+
+def _path_part(name: str) -> str:
+    return urllib.parse.quote(name, safe="")
+
+
+def _document(arguments: argparse.Namespace) -> dict[str, typing.Any]:
+    try:
+        query = json.loads(arguments.query)
+    except ValueError:
+        query = arguments.query
+    document: dict[str, typing.Any] = {"query": query}
+    for name in ("timeout_ms", "limit", "min_coverage", "shard_key"):
+        value = getattr(arguments, name)
+        if value is not None:
+            document[name] = value
+    if arguments.non_idempotent:
+        document["idempotent"] = False
+    return document
+
+
+def _headers(arguments: argparse.Namespace) -> dict[str, str]:
+    key = arguments.idempotency_key
+    return {"Idempotency-Key": key} if key is not None else {}
+
+
+def _problem_line(reply: console.HttpReply) -> str:
+    problem = reply.document if isinstance(reply.document, dict) else {}
+    kind = problem.get("kind", f"HTTP status {reply.status}")
+    outcome = problem.get("outcome", "unknown outcome")
+    return f"{kind} ({outcome}): {problem.get('detail', 'no detail; see the log')}"
+
+
+def _print(answer: dict[str, typing.Any], output: str) -> None:
+    if output == "json":
+        print(json.dumps(answer, indent=2))
+        return
+    coverage = answer["coverage"]
+    state = "complete" if answer["complete"] else "partial"
+    print(
+        f"{state}: {coverage['covered']} of {coverage['shards']} shards, "
+        f"snapshot {answer['snapshot']}, {answer['elapsed_ms']} ms, "
+        f"request {answer['request_id']}"
+    )
+    for missing in coverage["missing"]:
+        print(f"missing shard {missing['shard']}: {missing['reason']}")
+    rows = [
+        {"id": item["id"], "score": item["score"], "value": json.dumps(item["value"])}
+        for item in answer["results"]
+    ]
+    console.show(rows, "text")
--- a/jackdawpass/commands/stand_in.py
+++ b/jackdawpass/commands/stand_in.py
@@ -6,12 +6,17 @@
 
 import msgspec
 
+from jackdawpass.commands import console
 from jackdawpass.standins import platform, target
 
+EXAMPLE = """example:
+  jackdawpass stand-in target --options '{"name": "lots-a"}'
+"""
+
 
 def add_parser(subparsers: typing.Any) -> None:
     """Add the command to the parser."""
-    parser = subparsers.add_parser("stand-in", help=__doc__)
+    parser = console.add_command(subparsers, "stand-in", __doc__, EXAMPLE)
     parser.add_argument("kind", choices=("platform", "target"))
     parser.add_argument("--port", type=int, default=0)
     parser.add_argument("--options", default="{}", help="target options as JSON")
--- a/jackdawpass/process/entry.py
+++ b/jackdawpass/process/entry.py
@@ -6,7 +6,16 @@
 
 from jackdawpass import clock
 from jackdawpass.connection import dialect, platform_api
-from jackdawpass.process import control, dispatcher, http_api, policy, settings
+from jackdawpass.process import (
+    control,
+    dispatcher,
+    events,
+    http_api,
+    operations,
+    operator_api,
+    policy,
+    settings,
+)
 from jackdawpass.request import fanout, machine, model, problems, runner, single_run
 from jackdawpass.version import catalog
 
@@ -40,33 +49,48 @@
         )
         self._dispatcher = dispatcher.Dispatcher(reactor, self._wire, decisions)
         self._catalog: catalog.Catalog | None = None
-        self._port: typing.Any = None
-        self._draining = False
+        self._operations = operations.Operations(reactor, options)
 
     @property
     def ready(self) -> bool:
         """True when the instance can serve new requests."""
-        return self._catalog is not None and not self._draining
+        return self._catalog is not None and not self._operations.draining
 
     @property
     def port(self) -> int:
         """Port on which callers are served."""
-        return int(self._port.getHost().port)
+        return self._operations.port
+
+    @property
+    def ring(self) -> events.Ring:
+        """Events of this process."""
+        return self._operations.events
 
     def start(self) -> None:
         """Listen for callers and begin to fetch the configuration."""
-        site = http_api.make_site(self, self._options.max_body_bytes)
-        self._port = self._reactor.listenTCP(
-            self._options.port, site, interface=self._options.host
-        )
+        extra = operator_api.resources(self)
+        site = http_api.make_site(self, self._options.max_body_bytes, extra)
+        self._operations.listen(site)
         self._control.start()
 
+    def status(self) -> model.JsonObject:
+        """Return the status document."""
+        return self._operations.status(self.ready)
+
+    @property
+    def drained(self) -> defer.Deferred[bool]:
+        """Fires at the end of `drain`; False if requests were still running."""
+        return self._operations.drained
+
+    def drain(self) -> None:
+        """Fail `/readyz`, answer what was accepted, then close the port."""
+        self._operations.drain()
+
     @defer.inlineCallbacks
     def stop(self) -> typing.Generator[defer.Deferred[typing.Any], typing.Any, None]:
         """Stop listening and close all connections."""
-        self._draining = True
         self._control.stop()
-        yield self._port.stopListening()
+        yield self._operations.stop()
         self._dispatcher.close()
         yield self._platform.close()
 
@@ -80,13 +104,15 @@
     ) -> http_api.RunningQuery:
         """Run a query; `on_finish` is called once, possibly before returning."""
         now = clock.monotonic()
+        observer = self._operations.accept(request_id, service)
         states = self._make_states(now, request_id, service, query)
         if isinstance(states, problems.Problem):
+            observer.finished(states)
             on_finish(states)
             return _Refused()
         encoded = self._wire.encode_query(query.query)
         running = runner.Runner(
-            self._reactor, states, self._dispatcher, encoded, on_finish
+            self._reactor, states, self._dispatcher, encoded, on_finish, observer
         )
         running.start()
         return running
@@ -110,6 +136,7 @@
         self._catalog = current
         self._policy.apply(clock.monotonic(), current)
         self._dispatcher.apply(current)
+        self._operations.version_in_force(current.version)
 
     def _make_states(
         self, now: float, request_id: str, name: str, query: model.QueryRequest
--- a/jackdawpass/process/http_api.py
+++ b/jackdawpass/process/http_api.py
@@ -41,14 +41,20 @@
         """Run a query; `on_finish` is called once, possibly before returning."""
 
 
-def make_site(queries: QueryService, max_body_bytes: int) -> server.Site:
-    """Return the site that serves callers and the balancer."""
+def make_site(
+    queries: QueryService,
+    max_body_bytes: int,
+    extra: collections.abc.Mapping[bytes, resource.Resource] | None = None,
+) -> server.Site:
+    """Return the site for callers and the balancer, with extra `/v1` resources."""
     root = resource.Resource()
     root.putChild(b"healthz", _Health())
     root.putChild(b"readyz", _Ready(queries))
     version = resource.Resource()
     root.putChild(b"v1", version)
     version.putChild(b"services", _Services(queries, max_body_bytes))
+    for name, child in (extra or {}).items():
+        version.putChild(name, child)
     return server.Site(root)
 
 
--- /dev/null
+++ b/jackdawpass/process/operations.py
@@ -0,0 +1,164 @@
+"""What makes an instance operable: events, metrics, status and graceful shutdown."""
+
+import collections.abc
+import typing
+
+from twisted.internet import defer, task
+from twisted.web import server
+
+import jackdawpass
+from jackdawpass import clock
+from jackdawpass.process import drain, events, logs, metrics, settings, tracing
+from jackdawpass.request import model
+
+_logger = logs.get_logger(__name__)
+TICK_SECONDS = 0.1
+
+
+class StatusSection(typing.Protocol):
+    """Adds a member to the document of ``GET /v1/status``."""
+
+    @property
+    def name(self) -> str:
+        """Name of the member."""
+
+    def status(self, now: float) -> model.JsonObject:
+        """Return the value of the member."""
+
+
+class Operations:
+    """Observes one instance and shuts it down.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP and IReactorTime
+        The process's reactor.
+    options : EntrySettings
+        Settings of the instance.
+
+    Attributes
+    ----------
+    events : Ring
+        Events of this process.
+    metrics : Metrics
+        Receives the measurements of this process.
+    drained : Deferred of bool
+        Fires when a graceful shutdown has closed all connections: True if every
+        request was answered, False if the time limit passed first.
+    """
+
+    def __init__(self, reactor: typing.Any, options: settings.EntrySettings) -> None:
+        self._reactor = reactor
+        self._options = options
+        self.events = events.Ring(options.instance, options.zone, options.events)
+        self.metrics = metrics.make(
+            options.statsd_host, options.statsd_port, options.statsd_prefix
+        )
+        self._in_flight = drain.InFlight()
+        self._running: set[str] = set()
+        self._counters: collections.Counter[str] = collections.Counter()
+        self._sections: list[StatusSection] = []
+        self._ticking = task.LoopingCall(self._tick)
+        self._ticking.clock = reactor
+        self._port: drain.Port | None = None
+        self._draining = False
+        self.drained: defer.Deferred[bool] = defer.Deferred()
+
+    @property
+    def draining(self) -> bool:
+        """True once a graceful shutdown has begun."""
+        return self._draining
+
+    @property
+    def port(self) -> int:
+        """Number of the listening port."""
+        assert self._port is not None
+        return self._port.number
+
+    def add_section(self, section: StatusSection) -> None:
+        """Add a section to the status document."""
+        self._sections.append(section)
+
+    def listen(self, site: server.Site) -> None:
+        """Serve a site and begin to report."""
+        self._port = drain.Port(self._reactor, site, self._in_flight)
+        self._port.listen(self._options.host, self._options.port)
+        self._ticking.start(TICK_SECONDS, now=False)
+        self.events.emit(events.Kind.STARTED, detail=jackdawpass.__version__)
+
+    def accept(self, request_id: str, service: str) -> tracing.RequestTrace:
+        """Return the trace of a new request."""
+        self._running.add(request_id)
+        self._counters["requests"] += 1
+        return tracing.RequestTrace(
+            self.events, self.metrics, request_id, service, self._on_end
+        )
+
+    def version_in_force(self, version: int) -> None:
+        """Note the configuration version that now applies."""
+        self.events.version = version
+        log = logs.current()
+        if log is not None:
+            log.configuration_version = version
+        self.metrics.gauge("configuration_version", version)
+        self.events.emit(events.Kind.VERSION_IN_FORCE, detail=str(version))
+
+    def status(self, ready: bool) -> model.JsonObject:
+        """Return the document of ``GET /v1/status``."""
+        document: model.JsonObject = {
+            "instance": self._options.instance,
+            "zone": self._options.zone,
+            "site": self._options.site,
+            "process": self.events.process,
+            "version": jackdawpass.__version__,
+            "configuration_version": self.events.version,
+            "ready": ready,
+            "draining": self.draining,
+            "in_flight": len(self._running),
+            "counters": dict(self._counters),
+        }
+        for section in self._sections:
+            document[section.name] = section.status(clock.monotonic())
+        return document
+
+    def drain(self) -> None:
+        """Begin a graceful shutdown of the port, unless one is under way."""
+        if not self._draining:
+            self._draining = True
+            defer.ensureDeferred(self._drain()).chainDeferred(self.drained)
+
+    def stop(self) -> defer.Deferred[None]:
+        """Stop listening and reporting at once."""
+        if self._ticking.running:
+            self._ticking.stop()
+        self.events.emit(events.Kind.STOPPED)
+        self._tick()
+        assert self._port is not None
+        return self._port.stop_listening()
+
+    async def _drain(self) -> bool:
+        assert self._port is not None
+        started = self.events.emit(events.Kind.DRAIN_STARTED)
+        self._port.announce_close()
+        await task.deferLater(self._reactor, self._options.drain_grace_seconds)
+        await self._port.stop_listening()
+        self.events.emit(events.Kind.LISTENING_STOPPED, cause=started)
+        deadline = clock.monotonic() + self._options.drain_timeout_seconds
+        while self._port.close_idle() or self._running:
+            if clock.monotonic() >= deadline:
+                _logger.error("drain_timed_out", requests=len(self._running))
+                return False
+            await task.deferLater(self._reactor, drain.POLL_SECONDS)
+        return True
+
+    def _on_end(self, request_id: str) -> None:
+        self._running.discard(request_id)
+        log = logs.current()
+        if log is not None:
+            log.finish_request(request_id)
+
+    def _tick(self) -> None:
+        self.metrics.gauge("requests.in_flight", len(self._running))
+        log = logs.current()
+        if log is not None:
+            log.tick(clock.monotonic())
--- /dev/null
+++ b/jackdawpass/process/operator_api.py
@@ -0,0 +1,105 @@
+"""HTTP resources for operators: status, events and drain."""
+
+import collections.abc
+import typing
+
+import msgspec
+from twisted.web import resource, server
+
+from jackdawpass.process import events
+from jackdawpass.request import model, problems
+
+MAX_EVENTS = 10_000
+
+
+class Instance(typing.Protocol):
+    """What operators may ask of an instance."""
+
+    @property
+    def ring(self) -> events.Ring:
+        """Events of this process."""
+
+    def status(self) -> model.JsonObject:
+        """Return the status document."""
+
+    def drain(self) -> object:
+        """Begin a graceful shutdown."""
+
+
+def resources(instance: Instance) -> dict[bytes, resource.Resource]:
+    """Return the resources by their names under ``/v1``."""
+    return {
+        b"status": _Status(instance),
+        b"events": _Events(instance),
+        b"drain": _Drain(instance),
+    }
+
+
+class _Status(resource.Resource):
+    isLeaf = True
+
+    def __init__(self, instance: Instance) -> None:
+        super().__init__()
+        self._instance = instance
+
+    def render_GET(self, request: server.Request) -> bytes:
+        return _render(request, 200, self._instance.status())
+
+
+class _Events(resource.Resource):
+    isLeaf = True
+
+    def __init__(self, instance: Instance) -> None:
+        super().__init__()
+        self._instance = instance
+
+    def render_GET(self, request: server.Request) -> bytes:
+        after = _after(request)
+        if after is None:
+            return _render(request, 400, _bad_after(), problems.CONTENT_TYPE)
+        ring = self._instance.ring
+        selected = ring.after(after, MAX_EVENTS)
+        document = {
+            "process": ring.process,
+            "last": ring.last_seq,
+            "next": selected[-1].seq if selected else after,
+            "events": selected,
+        }
+        return _render(request, 200, document)
+
+
+class _Drain(resource.Resource):
+    isLeaf = True
+
+    def __init__(self, instance: Instance) -> None:
+        super().__init__()
+        self._instance = instance
+
+    def render_POST(self, request: server.Request) -> bytes:
+        self._instance.drain()
+        return _render(request, 202, self._instance.status())
+
+
+def _after(request: server.Request) -> int | None:
+    values = (request.args or {}).get(b"after", [b"0"])
+    text = values[-1].decode("ascii", "replace")
+    return int(text) if text.isdecimal() and len(text) < 19 else None
+
+
+def _bad_after() -> model.JsonObject:
+    problem = problems.not_run(
+        problems.ProblemKind.MALFORMED_REQUEST,
+        "after is not a sequence number; use a whole number from 0",
+    )
+    return problems.to_document(problem, "")
+
+
+def _render(
+    request: server.Request,
+    status: int,
+    document: collections.abc.Mapping[str, object],
+    content_type: str = "application/json",
+) -> bytes:
+    request.setResponseCode(status)
+    request.setHeader("Content-Type", content_type)
+    return msgspec.json.encode(document)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import threading
 import time
 import typing
 import urllib.error
@@ -74,7 +75,15 @@
 
 
 class Process:
-    """One process of the rig; `url` is where it listens."""
+    """One process of the rig.
+
+    Attributes
+    ----------
+    url : str
+        Where it listens.
+    lines : list of str
+        Its standard output after the first line, complete after `stop`.
+    """
 
     def __init__(self, arguments: collections.abc.Sequence[str]) -> None:
         self._popen = subprocess.Popen(
@@ -87,8 +96,16 @@
         if not line:
             raise RuntimeError(f"{arguments} ended with {self._popen.wait()}")
         self.port = int(json.loads(line)["port"])
+        self.lines: list[str] = []
+        self._reader = threading.Thread(target=self._read, daemon=True)
+        self._reader.start()
         self.url = f"http://127.0.0.1:{self.port}"
 
+    def _read(self) -> None:
+        assert self._popen.stdout is not None
+        for line in self._popen.stdout:
+            self.lines.append(line)
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         self._popen.send_signal(number)
@@ -102,6 +119,7 @@
         if self._popen.poll() is None:
             self._popen.kill()
         self._popen.wait()
+        self._reader.join()
         if self._popen.stdout is not None:
             self._popen.stdout.close()
 
