--- /dev/null
+++ b/tests/process/test_metrics.py
@@ -0,0 +1,61 @@
+"""Metrics over UDP."""
+
+import pathlib
+import re
+import socket
+
+import pytest
+
+from jackdawpass.process import metrics
+
+PACKAGE = pathlib.Path(metrics.__file__).parents[1]
+
+
+def test_measurements_arrive_in_statsd_format() -> None:
+    """Guards against names, types or units that differ from the documented ones."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as server:
+        server.bind(("127.0.0.1", 0))
+        server.settimeout(5)
+        sent = metrics.make("127.0.0.1", server.getsockname()[1], "jp")
+        sent.counter("requests")
+        sent.gauge("coverage", 99.5)
+        sent.timing("latency", 0.25)
+        received = [server.recv(2000).decode() for _ in range(3)]
+    assert received == [
+        "jp.requests:1|c",
+        "jp.coverage:99.5|g",
+        "jp.latency:250.000000|ms",
+    ]
+
+
+def test_socket_never_blocks_and_failures_are_counted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a full send buffer that stops the event loop."""
+    sent = metrics.StatsdMetrics("127.0.0.1", 9, "jp")
+    assert sent._client._sock.getblocking() is False
+
+    class Full:
+        def sendto(self, data: bytes, address: object) -> int:
+            raise BlockingIOError
+
+    monkeypatch.setattr(sent._client, "_sock", Full())
+    sent.counter("requests")
+    assert sent.dropped == 1
+    with pytest.raises(ValueError, match="not an IPv4 address"):
+        metrics.StatsdMetrics("statsd.example", 8125, "jp")
+
+
+def test_every_metric_that_is_sent_is_described() -> None:
+    """Guards against undocumented metrics."""
+    pattern = re.compile(r'\.(counter|gauge|timing)\(\s*f?"([^"{]*)(\{[^}]*\})?"')
+    used = set()
+    for path in PACKAGE.rglob("*.py"):
+        for kind, name, variable in pattern.findall(path.read_text()):
+            used.add((kind, name, bool(variable)))
+    described = {
+        (each.kind.value, name.split("<")[0], "<" in name)
+        for name, each in metrics.DESCRIPTIONS.items()
+    }
+    assert used
+    assert used <= described
