--- a/jackdawpass/process/metrics.py
+++ b/jackdawpass/process/metrics.py
@@ -33,7 +33,8 @@
     "outcomes.<outcome>": Description(
         Kind.COUNTER,
         "requests",
-        "finished requests: complete, partial, not_run, unknown, incomplete, gone",
+        "finished requests: complete, partial, replayed, not_run, unknown, "
+        "incomplete, gone",
     ),
     "latency": Description(
         Kind.TIMING, "milliseconds", "from acceptance to the outcome of a request"
--- a/jackdawpass/process/tracing.py
+++ b/jackdawpass/process/tracing.py
@@ -6,6 +6,8 @@
 from jackdawpass.process import events, metrics
 from jackdawpass.request import model, problems
 
+Outcome = model.Answer | model.RecordedAnswer | problems.Problem
+
 
 class RequestTrace:
     """Trace of one request.
@@ -96,12 +98,14 @@
         if not self._ended:
             self._end("gone")
 
-    def finished(self, outcome: model.Answer | problems.Problem) -> None:
+    def finished(self, outcome: Outcome) -> None:
         """Note the outcome."""
         if self._ended:
             return
         detail = outcome_name(outcome)
-        coverage = outcome.coverage
+        coverage = None
+        if not isinstance(outcome, model.RecordedAnswer):
+            coverage = outcome.coverage
         if coverage is not None:
             self._metrics.gauge("coverage", round(coverage.ratio * 100, 3))
         self._emitter.emit(
@@ -154,8 +158,10 @@
         return reference
 
 
-def outcome_name(outcome: model.Answer | problems.Problem) -> str:
-    """Return ``complete``, ``partial`` or the outcome of a problem."""
+def outcome_name(outcome: Outcome) -> str:
+    """Return ``complete``, ``partial``, ``replayed`` or the outcome of a problem."""
+    if isinstance(outcome, model.RecordedAnswer):
+        return "replayed"
     if isinstance(outcome, problems.Problem):
         return outcome.outcome.value
     return "complete" if outcome.complete else "partial"
--- a/jackdawpass/request/runner.py
+++ b/jackdawpass/request/runner.py
@@ -87,7 +87,7 @@
         """Cancel what the machine gives up for a caller that went away."""
         self._trace.caller_gone()
         self._perform(self._states.on_caller_gone(clock.monotonic()))
-        if not self._unended:
+        if not self._unended and self._on_finish is not None:
             self._trace.abandoned()
 
     def on_sent(self, attempt_id: int) -> None:
@@ -114,7 +114,9 @@
     def _perform(self, actions: machine.Actions) -> None:
         # A channel may call back while an action is performed; its actions queue up
         # behind those already decided.
-        self._pending.extend(actions)
+        for action in actions:
+            if not self._withdraws_send(action):
+                self._pending.append(action)
         if self._performing:
             return
         self._performing = True
@@ -124,6 +126,22 @@
         finally:
             self._performing = False
 
+    def _withdraws_send(self, action: machine.Action) -> bool:
+        """Drop a pending `Send` that `action` cancels; return True if there is one.
+
+        Otherwise a request could be sent after its machine has ended it as not run.
+        """
+        if not isinstance(action, machine.Cancel):
+            return False
+        for pending in self._pending:
+            if (
+                isinstance(pending, machine.Send)
+                and pending.attempt.attempt_id == action.attempt_id
+            ):
+                self._pending.remove(pending)
+                return True
+        return False
+
     def _perform_one(self, action: machine.Action) -> None:
         match action:
             case machine.Send(attempt):
@@ -165,5 +183,4 @@
         self._stop_timer()
         on_finish, self._on_finish = self._on_finish, None
         if on_finish is not None:
-            self._trace.finished(outcome)
             on_finish(outcome)
--- a/jackdawpass/request/trace.py
+++ b/jackdawpass/request/trace.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from jackdawpass.request import model, problems
+from jackdawpass.request import model
 
 
 class Trace(typing.Protocol):
@@ -32,9 +32,6 @@
     def abandoned(self) -> None:
         """Note that the request ended without an outcome."""
 
-    def finished(self, outcome: model.Answer | problems.Problem) -> None:
-        """Note the outcome."""
-
 
 class NoTrace:
     """Ignores everything."""
@@ -62,6 +59,3 @@
 
     def abandoned(self) -> None:
         """Do nothing."""
-
-    def finished(self, outcome: model.Answer | problems.Problem) -> None:
-        """Do nothing."""
