--- a/jackdawpass/commands/config.py
+++ b/jackdawpass/commands/config.py
@@ -12,6 +12,7 @@
     config_write,
     console,
     files,
+    reports,
     session,
 )
 from jackdawpass.version import parts
@@ -37,11 +38,8 @@
 
 def add_command(parsers: Parsers, name: str, summary: str, example: str) -> typing.Any:
     """Add a command whose help ends with an example."""
-    return parsers.add_parser(
-        name,
-        help=summary,
-        description=summary,
-        epilog=f"example: jackdawpass {example}",
+    return console.add_command(
+        parsers, name, summary, f"example:\n  jackdawpass {example}"
     )
 
 
@@ -203,7 +201,7 @@
 def _apply_overlay(arguments: argparse.Namespace) -> int:
     checked = files.check_name("site", arguments.site)
     if isinstance(checked, result.Failure):
-        return console.show_failure(checked.failure(), arguments.format)
+        return reports.show_failure(checked.failure(), arguments.format)
     return apply_part(arguments, parts.OVERLAY_PREFIX + arguments.site)
 
 
--- a/jackdawpass/commands/config_read.py
+++ b/jackdawpass/commands/config_read.py
@@ -11,7 +11,7 @@
 from twisted.internet import defer
 
 from jackdawpass import errors
-from jackdawpass.commands import comparison, console, files, session
+from jackdawpass.commands import comparison, files, reports, session
 from jackdawpass.process import archive
 from jackdawpass.version import documents, parts
 
@@ -33,10 +33,10 @@
         faults.extend(documents.site_faults(decoded[arguments.base], overlays))
     if faults:
         error = errors.InvalidConfiguration(tuple(faults))
-        return console.show_failure(error, arguments.format)
+        return reports.show_failure(error, arguments.format)
     text = f"valid: {', '.join(loaded)}"
-    report = console.Report({"valid": list(loaded)}, text)
-    return console.show_report(report, arguments.format)
+    report = reports.Report({"valid": list(loaded)}, text)
+    return reports.show_report(report, arguments.format)
 
 
 @defer.inlineCallbacks
@@ -109,7 +109,7 @@
         for entry in entries
     )
     document = {"version": head.version, "history": entries}
-    return result.Success(console.Report(document, text or "no version yet"))
+    return result.Success(reports.Report(document, text or "no version yet"))
 
 
 @defer.inlineCallbacks
@@ -140,22 +140,22 @@
     return documents.effective(base, overlay).map(cattrs.unstructure)
 
 
-def _shown(version: int, document: documents.JsonObject) -> console.Report:
+def _shown(version: int, document: documents.JsonObject) -> reports.Report:
     # The version is a comment, so that the output is a file that can be applied.
     text = f"// version {version}\n{json.dumps(document, indent=JSON_INDENT)}"
-    return console.Report({"version": version, "configuration": document}, text)
+    return reports.Report({"version": version, "configuration": document}, text)
 
 
 def _differences(
     differences: collections.abc.Sequence[comparison.Difference], old: str, new: str
-) -> console.Report:
+) -> reports.Report:
     document = {
         "old": old,
         "new": new,
         "differences": [dataclasses.asdict(each) for each in differences],
     }
     text = "\n".join(str(each) for each in differences)
-    return console.Report(document, text or f"no difference: {old} and {new}")
+    return reports.Report(document, text or f"no difference: {old} and {new}")
 
 
 def _entries(
--- a/jackdawpass/commands/config_wait.py
+++ b/jackdawpass/commands/config_wait.py
@@ -10,7 +10,7 @@
 from twisted.web import client
 
 from jackdawpass import clock
-from jackdawpass.commands import console, session
+from jackdawpass.commands import reports, session
 
 POLL_SECONDS = 0.2
 CALL_TIMEOUT_SECONDS = 2.0
@@ -54,7 +54,7 @@
             return result.Success(_report(version, polled, elapsed))
         if elapsed >= timeout_seconds:
             return result.Failure(_behind(version, behind, polled))
-        console.show_progress(f"waiting for {len(behind)} of {len(instances)}")
+        reports.show_progress(f"waiting for {len(behind)} of {len(instances)}")
         yield task.deferLater(current.reactor, POLL_SECONDS)
 
 
@@ -88,7 +88,7 @@
     )
 
 
-def _report(version: int, polled: dict[str, Polled], elapsed: float) -> console.Report:
+def _report(version: int, polled: dict[str, Polled], elapsed: float) -> reports.Report:
     versions = {name: each.version for name, each in polled.items()}
     document = {
         "version": version,
@@ -96,7 +96,7 @@
         "elapsed_ms": round(elapsed * 1000),
     }
     text = f"version {version} is in force on {len(versions)} instances"
-    return console.Report(document, text)
+    return reports.Report(document, text)
 
 
 def _behind(
--- a/jackdawpass/commands/config_write.py
+++ b/jackdawpass/commands/config_write.py
@@ -5,7 +5,7 @@
 from returns import result
 from twisted.internet import defer
 
-from jackdawpass.commands import config_read, console, files, session
+from jackdawpass.commands import config_read, files, reports, session
 from jackdawpass.process import archive, store
 from jackdawpass.version import documents, parts
 
@@ -67,17 +67,17 @@
 def _commit(
     changes: files.Changes, seen: parts.Head, current: session.Session
 ) -> session.Steps[session.ReportResult]:
-    console.show_progress(f"committing {len(changes)} changed parts")
+    reports.show_progress(f"committing {len(changes)} changed parts")
     committed = yield store.commit(current.platform, changes, seen, current.timing)
     return committed.map(lambda head: _accepted(head, seen, changes))
 
 
 def _accepted(
     head: parts.Head, seen: parts.Head, changes: files.Changes
-) -> console.Report:
+) -> reports.Report:
     changed = sorted(changes) if head.version != seen.version else []
     document = {"version": head.version, "writer": head.writer, "changed": changed}
     if not changed:
-        return console.Report(document, f"unchanged: version {head.version}")
+        return reports.Report(document, f"unchanged: version {head.version}")
     text = f"accepted as version {head.version}: {', '.join(changed)}"
-    return console.Report(document, text)
+    return reports.Report(document, text)
--- a/jackdawpass/commands/index.py
+++ b/jackdawpass/commands/index.py
@@ -9,7 +9,7 @@
 from returns import result
 from twisted.internet import defer
 
-from jackdawpass.commands import config, config_read, console, files, session
+from jackdawpass.commands import config, config_read, files, reports, session
 from jackdawpass.process import archive
 from jackdawpass.version import parts
 
@@ -44,7 +44,7 @@
 def _publish(arguments: argparse.Namespace) -> int:
     checked = files.check_name("service", arguments.service)
     if isinstance(checked, result.Failure):
-        return console.show_failure(checked.failure(), arguments.format)
+        return reports.show_failure(checked.failure(), arguments.format)
     return config.apply_part(arguments, parts.INDEX_PREFIX + arguments.service)
 
 
@@ -70,9 +70,9 @@
     return read.map(lambda contents: _report(head.version, contents[name]))
 
 
-def _report(version: int, content: bytes) -> console.Report:
+def _report(version: int, content: bytes) -> reports.Report:
     document = msgspec.json.decode(content)
     text = json.dumps(document, indent=config_read.JSON_INDENT)
-    return console.Report(
+    return reports.Report(
         {"version": version, "index": document}, f"// version {version}\n{text}"
     )
--- a/jackdawpass/commands/session.py
+++ b/jackdawpass/commands/session.py
@@ -11,7 +11,7 @@
 from twisted.python import failure
 
 from jackdawpass import errors
-from jackdawpass.commands import console
+from jackdawpass.commands import reports
 from jackdawpass.connection import platform_api
 from jackdawpass.process import archive, pace
 from jackdawpass.version import parts
@@ -32,7 +32,7 @@
         return self.message
 
 
-ReportResult = result.Result[console.Report, errors.ChangeError | Failed]
+ReportResult = result.Result[reports.Report, errors.ChangeError | Failed]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,8 +76,8 @@
     """Add the argument that selects the output format."""
     parser.add_argument(
         "--format",
-        choices=(console.JSON_FORMAT, console.TEXT_FORMAT),
-        default=console.TEXT_FORMAT,
+        choices=(reports.JSON_FORMAT, reports.TEXT_FORMAT),
+        default=reports.TEXT_FORMAT,
         help="output format (default: %(default)s)",
     )
 
@@ -104,14 +104,14 @@
 def _show(outcomes: list[ReportResult | failure.Failure], output_format: str) -> int:
     if not outcomes:
         message = "interrupted; see `config history` for what was accepted"
-        return console.show_failure(Failed(message), output_format)
+        return reports.show_failure(Failed(message), output_format)
     outcome = outcomes[0]
     if isinstance(outcome, failure.Failure):
         outcome.raiseException()
         raise AssertionError("raiseException returned")
     if isinstance(outcome, result.Failure):
-        return console.show_failure(outcome.failure(), output_format)
-    return console.show_report(outcome.unwrap(), output_format)
+        return reports.show_failure(outcome.failure(), output_format)
+    return reports.show_report(outcome.unwrap(), output_format)
 
 
 def _platform_url(text: str) -> str:
--- a/tests/commands/test_config.py
+++ b/tests/commands/test_config.py
@@ -9,6 +9,7 @@
 import pytest
 
 from jackdawpass import cli
+from jackdawpass.commands import console
 from tests import rig
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -173,7 +174,7 @@
     """Guards against mixing up usage faults and refusals."""
     with pytest.raises(SystemExit) as ended:
         cli.main(arguments)
-    assert ended.value.code == cli.EXIT_USAGE
+    assert ended.value.code == console.EXIT_USAGE
 
 
 @pytest.mark.parametrize(
