Extend the target stand-in and host many in one process

Cause: experiments need 60 targets and more, with connection and zone delays, stragglers, cold starts, false endpoints, cut zones and restarts. The stand-in also had faults of its own: it ran work past its deadline, ignored limit, started a waiting job of a closed connection only to cancel it, and accepted misspelled fault names without a word. Change: split the stand-in into behaviour, slots, target and host; add 'stand-in targets'; correct the four faults.

--- a/jackdawpass/commands/stand_in.py
+++ b/jackdawpass/commands/stand_in.py
@@ -1,4 +1,4 @@
-"""Command `stand-in`: run a stand-in for the platform or for a target."""
+"""Command `stand-in`: run a stand-in for the platform or for targets."""
 
 import argparse
 import json
@@ -6,15 +6,19 @@
 
 import msgspec
 
-from jackdawpass.standins import platform, target
+from jackdawpass.standins import behaviour, host, platform, target
 
 
 def add_parser(subparsers: typing.Any) -> None:
     """Add the command to the parser."""
     parser = subparsers.add_parser("stand-in", help=__doc__)
-    parser.add_argument("kind", choices=("platform", "target"))
+    parser.add_argument("kind", choices=("platform", "target", "targets"))
     parser.add_argument("--port", type=int, default=0)
-    parser.add_argument("--options", default="{}", help="target options as JSON")
+    parser.add_argument(
+        "--options",
+        default="{}",
+        help="options of the target as JSON; a list of them for `targets`",
+    )
     parser.set_defaults(run=run)
 
 
@@ -22,11 +26,20 @@
     """Run a stand-in until it is killed."""
     from twisted.internet import reactor
 
-    if arguments.kind == "platform":
-        listening = platform.PlatformStandIn(reactor).listen(arguments.port)
-    else:
-        options = msgspec.json.decode(arguments.options, type=target.TargetOptions)
-        listening = target.TargetStandIn(reactor, options).listen(arguments.port)
-    print(json.dumps({"port": listening.getHost().port}), flush=True)
+    print(json.dumps(_listen(reactor, arguments)), flush=True)
     reactor.run()
     return 0
+
+
+def _listen(reactor: typing.Any, arguments: argparse.Namespace) -> dict[str, object]:
+    if arguments.kind == "platform":
+        listening = platform.PlatformStandIn(reactor).listen(arguments.port)
+        return {"port": listening.getHost().port}
+    if arguments.kind == "target":
+        options = msgspec.json.decode(arguments.options, type=behaviour.TargetOptions)
+        stand_in = target.TargetStandIn(reactor, options)
+        return {"port": stand_in.listen(arguments.port).getHost().port}
+    listed = msgspec.json.decode(arguments.options, type=list[behaviour.TargetOptions])
+    hosted = host.TargetHost(reactor, listed)
+    control = hosted.listen(arguments.port).getHost().port
+    return {"port": control, "targets": hosted.ports}
--- /dev/null
+++ b/jackdawpass/standins/slots.py
@@ -0,0 +1,130 @@
+"""Slots of a target stand-in: running and waiting requests and their deadlines."""
+
+import collections
+import collections.abc
+import dataclasses
+import typing
+
+import msgspec
+
+from jackdawpass.standins import wire
+
+
+class Run(msgspec.Struct):
+    """Body of ``POST /v1/run``."""
+
+    request_id: str
+    attempt_id: int
+    service: str
+    snapshot: str
+    shards: list[int]
+    deadline_ms: float
+    limit: int
+    idempotent: bool
+    query: msgspec.Raw
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Job:
+    """One request from its arrival to its end.
+
+    Attributes
+    ----------
+    remote : bool
+        True when the caller is in another availability zone.
+    """
+
+    connection: wire.ServerConnection
+    run: Run
+    remote: bool = False
+    started: bool = False
+    running_timer: typing.Any = None
+    deadline_timer: typing.Any = None
+
+
+class Slots:
+    """Runs jobs on a number of slots and keeps a bounded queue of waiting ones.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Sets the timers of jobs.
+    slots, max_waiting : int
+        Jobs that run at once and jobs that may wait.
+    duration : callable
+        Called when a job starts; returns its running time in seconds.
+    on_done, on_expired : callable
+        Called with a job that ran to its end, or whose deadline passed.
+    """
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        slots: int,
+        max_waiting: int,
+        duration: collections.abc.Callable[[Job], float],
+        on_done: collections.abc.Callable[[Job], None],
+        on_expired: collections.abc.Callable[[Job], None],
+    ) -> None:
+        self._reactor = reactor
+        self._slots = slots
+        self._max_waiting = max_waiting
+        self._duration = duration
+        self._on_done = on_done
+        self._on_expired = on_expired
+        self._running: set[Job] = set()
+        self._waiting: collections.deque[Job] = collections.deque()
+
+    @property
+    def in_flight(self) -> int:
+        """Number of running jobs."""
+        return len(self._running)
+
+    def try_add(self, job: Job) -> bool:
+        """Start a job or let it wait; False when the queue is full."""
+        if len(self._running) >= self._slots and len(self._waiting) >= (
+            self._max_waiting
+        ):
+            return False
+        job.deadline_timer = self._reactor.callLater(
+            job.run.deadline_ms / 1000, self._expire, job
+        )
+        self._waiting.append(job)
+        self._start_waiting()
+        return True
+
+    def cancel(self, matches: collections.abc.Callable[[Job], bool]) -> int:
+        """End the matching jobs without a reply; return their number."""
+        # All leave before any waiting job starts, so that none of them starts.
+        ended = [job for job in [*self._running, *self._waiting] if matches(job)]
+        for job in ended:
+            self._remove(job)
+        self._start_waiting()
+        return len(ended)
+
+    def _start_waiting(self) -> None:
+        while self._waiting and len(self._running) < self._slots:
+            job = self._waiting.popleft()
+            job.started = True
+            self._running.add(job)
+            seconds = self._duration(job)
+            job.running_timer = self._reactor.callLater(seconds, self._complete, job)
+
+    def _complete(self, job: Job) -> None:
+        self._remove(job)
+        self._start_waiting()
+        self._on_done(job)
+
+    def _expire(self, job: Job) -> None:
+        self._remove(job)
+        self._start_waiting()
+        self._on_expired(job)
+
+    def _remove(self, job: Job) -> None:
+        if job in self._running:
+            self._running.discard(job)
+        else:
+            self._waiting.remove(job)
+        for timer in (job.running_timer, job.deadline_timer):
+            if timer is not None and timer.active():
+                timer.cancel()
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -86,7 +86,8 @@
         line = self._popen.stdout.readline()
         if not line:
             raise RuntimeError(f"{arguments} ended with {self._popen.wait()}")
-        self.port = int(json.loads(line)["port"])
+        self.first_line: dict[str, typing.Any] = json.loads(line)
+        self.port = int(self.first_line["port"])
         self.url = f"http://127.0.0.1:{self.port}"
 
     def signal(self, number: signal.Signals) -> None:
@@ -183,9 +184,13 @@
         if answer.status not in (200, 201, 412):
             raise RuntimeError(f"PUT {key}: {answer}")
 
-    def faults(self, process: Process, **faults: typing.Any) -> None:
-        """Induce faults in a stand-in; faults not named end."""
-        call("POST", process.url + "/control/faults", faults)
+    def faults(
+        self, process: Process, name: str = "control", **faults: typing.Any
+    ) -> None:
+        """Induce faults in a stand-in, or in one that it hosts; others end."""
+        answer = call("POST", f"{process.url}/{name}/faults", faults)
+        if answer.status != 200:
+            raise RuntimeError(f"faults {faults}: {answer}")
 
     def totals(self, target: str) -> dict[str, int]:
         """Return the counts of a target stand-in."""
