Send the zone of the instance with each sub-request

Cause: the target stand-in adds the delay between zones and cuts zones off, for which it has to know where a caller is; a port alone does not tell. Change: JsonDialect takes the zone and writes it as Caller-Zone into the head, the constant part of which is now built once. Conclusion: no field of the JSON protocol changes; a target may ignore it.

--- a/jackdawpass/connection/dialect.py
+++ b/jackdawpass/connection/dialect.py
@@ -81,9 +81,17 @@
 
 
 class JsonDialect:
-    """JSON over HTTP/1.1, one message per target for all its shards in a query."""
+    """JSON over HTTP/1.1, one message per target for all its shards in a query.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    zone : str
+        Availability zone of this instance, sent as ``Caller-Zone``.
+    """
+
+    def __init__(self, zone: str = "") -> None:
+        zone_line = f"Caller-Zone: {zone}\r\n" if zone else ""
+        self._head = f"Host: target\r\n{zone_line}Content-Type: application/json\r\n"
         self._encoder = msgspec.json.Encoder()
         self._reply_decoder = msgspec.json.Decoder(_WireReply)
         self._refusal_decoder = msgspec.json.Decoder(_WireRefusal)
@@ -108,12 +116,12 @@
                 "idempotent": attempt.idempotent,
             }
         )
-        return _post(RUN_PATH, head[:-1] + b',"query":' + query + b"}")
+        return self._post(RUN_PATH, head[:-1] + b',"query":' + query + b"}")
 
     def encode_cancel(self, attempt: model.Attempt) -> bytes:
         """Encode the HTTP request that cancels an attempt."""
         body = {"request_id": attempt.request_id, "attempt_id": attempt.attempt_id}
-        return _post(CANCEL_PATH, self._encoder.encode(body))
+        return self._post(CANCEL_PATH, self._encoder.encode(body))
 
     def decode_run(self, attempt: model.Attempt, reply: HttpReply) -> RunResult:
         """Decode the reply to an attempt and check that it belongs to it."""
@@ -121,6 +129,12 @@
             return self._decode_reply(attempt, reply.body)
         return result.Failure(self._decode_refusal(attempt, reply.body))
 
+    def _post(self, path: str, body: bytes) -> bytes:
+        head = (
+            f"POST {path} HTTP/1.1\r\n{self._head}Content-Length: {len(body)}\r\n\r\n"
+        )
+        return head.encode("ascii") + body
+
     def _decode_reply(self, attempt: model.Attempt, body: bytes) -> RunResult:
         try:
             wire = self._reply_decoder.decode(body)
@@ -161,11 +175,3 @@
     items: collections.abc.Iterable[_WireResult],
 ) -> tuple[model.ResultItem, ...]:
     return tuple(model.ResultItem(item.id, item.score, item.value) for item in items)
-
-
-def _post(path: str, body: bytes) -> bytes:
-    head = (
-        f"POST {path} HTTP/1.1\r\nHost: target\r\n"
-        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
-    )
-    return head.encode("ascii") + body
--- a/jackdawpass/process/entry.py
+++ b/jackdawpass/process/entry.py
@@ -33,7 +33,7 @@
         self._reactor = reactor
         self._options = options
         self._policy = decisions
-        self._wire = dialect.JsonDialect()
+        self._wire = dialect.JsonDialect(options.zone)
         self._platform = platform_api.HttpPlatform(reactor, options.platform_url)
         self._control = control.Control(
             reactor, self._platform, options.site, self._on_catalog
