--- /dev/null
+++ b/jackdawpass/bench/agent_cost.py
@@ -0,0 +1,103 @@
+"""Exchanges of the target dialect through ``twisted.web``'s Agent, for comparison.
+
+Reads ports, in the order of their shards, and a number of exchanges as JSON and writes the processor time per exchange
+in microseconds, encoding and decoding included.
+"""
+
+import itertools
+import json
+import resource
+import sys
+import typing
+
+from twisted.internet import defer, task
+from twisted.web import client, http_headers
+
+from jackdawpass.bench import layout
+from jackdawpass.connection import dialect, platform_api
+from jackdawpass.request import model
+
+CONCURRENCY = 10
+WARM_UP_EXCHANGES = 100
+REMAINING_SECONDS = 5.0
+LIMIT = 10
+
+Steps = typing.Generator[defer.Deferred[typing.Any], typing.Any, None]
+
+
+class AgentClient:
+    """Sends attempts to targets in turn over kept connections."""
+
+    def __init__(self, reactor: typing.Any, ports: list[int]) -> None:
+        pool = client.HTTPConnectionPool(reactor, persistent=True)
+        pool.maxPersistentPerHost = CONCURRENCY
+        self._agent = client.Agent(reactor, pool=pool)
+        self._wire = dialect.JsonDialect()
+        self._ports = itertools.cycle(enumerate(ports))
+        self._headers = http_headers.Headers({b"Content-Type": [b"application/json"]})
+
+    @defer.inlineCallbacks
+    def exchange(self, number: int) -> Steps:
+        """Perform one exchange and check its reply."""
+        shard, port = next(self._ports)
+        attempt = _make_attempt(number, shard)
+        request = self._wire.encode_run(attempt, REMAINING_SECONDS, b'"offers"')
+        body = request.partition(b"\r\n\r\n")[2]
+        response = yield self._agent.request(
+            b"POST",
+            f"http://127.0.0.1:{port}{dialect.RUN_PATH}".encode(),
+            self._headers,
+            platform_api.BytesProducer(body),
+        )
+        content = yield client.readBody(response)
+        reply = dialect.HttpReply(response.code, content)
+        self._wire.decode_run(attempt, reply).unwrap()
+
+
+def _make_attempt(number: int, shard: int) -> model.Attempt:
+    return model.Attempt(
+        attempt_id=number,
+        request_id="agent",
+        service=layout.SERVICE,
+        target="",
+        shards=frozenset((shard,)),
+        snapshot=layout.SNAPSHOT,
+        deadline=0.0,
+        limit=LIMIT,
+        kind=model.AttemptKind.FIRST,
+    )
+
+
+@defer.inlineCallbacks
+def _measure(reactor: typing.Any, document: dict[str, typing.Any]) -> Steps:
+    agent = AgentClient(reactor, document["ports"])
+    yield _exchange_all(agent, WARM_UP_EXCHANGES)
+    before = _cpu_seconds()
+    yield _exchange_all(agent, document["exchanges"])
+    cpu_us = (_cpu_seconds() - before) / document["exchanges"] * 1_000_000
+    print(json.dumps({"cpu_us": cpu_us}))
+
+
+def _exchange_all(agent: AgentClient, count: int) -> defer.Deferred[typing.Any]:
+    numbers = iter(range(1, count + 1))
+    work = (agent.exchange(number) for number in numbers)
+    cooperator = task.Cooperator()
+    return defer.DeferredList(
+        [cooperator.coiterate(work) for _ in range(CONCURRENCY)],
+        fireOnOneErrback=True,
+    )
+
+
+def _cpu_seconds() -> float:
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
+
+
+def main() -> None:
+    """Measure and print the result."""
+    document = json.load(sys.stdin)
+    task.react(lambda reactor: _measure(reactor, document))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/jackdawpass/bench/cluster.py
@@ -0,0 +1,186 @@
+"""A platform stand-in, hosted targets and entry instances on loopback."""
+
+import json
+import pathlib
+import tempfile
+import time
+import typing
+
+from jackdawpass.bench import layout, processes
+from jackdawpass.version import parts
+
+READY_TIMEOUT_SECONDS = 20.0
+STOP_TIMEOUT_SECONDS = 10.0
+POLL_SECONDS = 0.02
+CHOSEN = "chosen"
+NAIVE = "naive"
+POLICIES = (CHOSEN, NAIVE)
+
+
+class Cluster:
+    """All servers of one experiment; both policies share the targets.
+
+    Parameters
+    ----------
+    sizes : Layout
+        Sizes of the experiment.
+    seed : int
+        Seeds the running times of the targets.
+    policies : tuple of str
+        For which policies to start entry instances, one per zone.
+    """
+
+    def __init__(
+        self,
+        sizes: layout.Layout,
+        seed: int,
+        policies: tuple[str, ...] = POLICIES,
+        entry_arguments: tuple[str, ...] = (),
+    ) -> None:
+        self._sizes = sizes
+        self._entry_arguments = entry_arguments
+        self._directory = tempfile.TemporaryDirectory(prefix="jackdawpass-bench-")
+        self._servers: list[processes.Server] = []
+        self._host_of: dict[str, processes.Server] = {}
+        self._ports: dict[str, int] = {}
+        self._entries: dict[str, list[processes.Server]] = {}
+        self._version = 0
+        self._started_entries = 0
+        try:
+            self._platform = self._start("stand-in", "platform")
+            self._start_targets(seed)
+            self.commit(sizes.base(self._ports), sizes.index())
+            for policy in policies:
+                self._entries[policy] = [
+                    self.start_entry(policy, zone) for zone in sizes.zones
+                ]
+        except BaseException:
+            self.close()
+            raise
+
+    @property
+    def sizes(self) -> layout.Layout:
+        """Sizes of the experiment."""
+        return self._sizes
+
+    @property
+    def ports(self) -> dict[str, int]:
+        """Port of each target."""
+        return self._ports
+
+    @property
+    def targets(self) -> tuple[str, ...]:
+        """Names of the targets."""
+        return tuple(self._ports)
+
+    def entries(self, policy: str) -> list[processes.Server]:
+        """Return the entry instances of a policy, one per zone."""
+        return self._entries[policy]
+
+    def close(self) -> None:
+        """Kill all processes and remove the settings files."""
+        for server in reversed(self._servers):
+            server.stop()
+        self._directory.cleanup()
+
+    def start_entry(self, policy: str, zone: str) -> processes.Server:
+        """Start an entry instance and wait until it is ready."""
+        self._started_entries += 1
+        name = f"{policy}-{zone}-{self._started_entries}"
+        settings = {
+            "instance": name,
+            "zone": zone,
+            "site": zone,
+            "platform_url": self._platform.url,
+        }
+        path = pathlib.Path(self._directory.name) / f"{name}.json"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        flags = ("--baseline",) if policy == NAIVE else ()
+        entry = self._start(
+            "entry", "--settings", str(path), *flags, *self._entry_arguments
+        )
+        _wait_ready(entry)
+        return entry
+
+    def stop_entry(self, entry: processes.Server) -> None:
+        """Stop an entry instance gracefully and wait for its end."""
+        entry.terminate()
+        entry.wait(STOP_TIMEOUT_SECONDS)
+
+    def control(self, name: str, action: str, document: object = None) -> typing.Any:
+        """Perform a control action on a target and return its reply."""
+        url = f"{self._host_of[name].url}/{name}/{action}"
+        status, replies = processes.call("POST", url, document or {})
+        if status != 200:
+            raise RuntimeError(f"{action} of {name} failed: {status} {replies!r}")
+        return replies[name]
+
+    def control_all(
+        self, action: str, document: object = None
+    ) -> dict[str, typing.Any]:
+        """Perform a control action on all targets and return their replies."""
+        merged: dict[str, typing.Any] = {}
+        for host in dict.fromkeys(self._host_of.values()):
+            status, replies = processes.call(
+                "POST", f"{host.url}/*/{action}", document or {}
+            )
+            if status != 200:
+                raise RuntimeError(f"{action} failed: {status} {replies!r}")
+            merged.update(replies)
+        return merged
+
+    def faults(self, name: str, **faults: typing.Any) -> None:
+        """Replace the faults of a target."""
+        self.control(name, "faults", faults)
+
+    def received(self) -> int:
+        """Return the number of sub-requests that all targets received so far."""
+        totals = self.control_all("totals").values()
+        return sum(each.get("received", 0) + each.get("lost", 0) for each in totals)
+
+    def commit(
+        self, base: dict[str, bytes] | None, index: dict[str, typing.Any]
+    ) -> None:
+        """Write a new configuration version straight into the platform stand-in."""
+        changes = dict(self._sizes.base(self._ports) if base is None else base)
+        changes[parts.INDEX_PREFIX + layout.SERVICE] = parts.encode(index)
+        self._version += 1
+        named = {name: parts.chunk_hash(content) for name, content in changes.items()}
+        for name, content in changes.items():
+            self._put(parts.CHUNK_PREFIX + named[name], json.loads(content), True)
+        head = parts.Head(self._version, f"bench-{self._version}", "", named)
+        self._put(parts.HEAD_KEY, parts.head_document(head), self._version == 1)
+
+    def _put(self, key: str, value: object, create: bool) -> None:
+        url = f"{self._platform.url}/v1/objects/{key}"
+        if create:
+            status, _ = processes.call("PUT", url, value, If_None_Match="*")
+        else:
+            stored = processes.call("GET", url)[1]
+            version = str(stored["version"])
+            status, _ = processes.call("PUT", url, value, If_Match=version)
+        # 412 for a chunk means that the same content is already stored.
+        if status not in (200, 201) and not (create and status == 412):
+            raise RuntimeError(f"PUT {key} failed with status {status}")
+
+    def _start(self, *arguments: str) -> processes.Server:
+        server = processes.Server(arguments)
+        self._servers.append(server)
+        return server
+
+    def _start_targets(self, seed: int) -> None:
+        options = self._sizes.target_options(seed)
+        for position in range(self._sizes.hosts):
+            mine = json.dumps(options[position :: self._sizes.hosts])
+            host = self._start("stand-in", "targets", "--options", mine)
+            for name, port in host.ports["targets"].items():
+                self._host_of[name] = host
+                self._ports[name] = port
+
+
+def _wait_ready(entry: processes.Server) -> None:
+    deadline = time.monotonic() + READY_TIMEOUT_SECONDS
+    while processes.call("GET", entry.url + "/readyz")[0] != 200:
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"the entry instance at {entry.url} is not ready")
+        time.sleep(POLL_SECONDS)
--- /dev/null
+++ b/jackdawpass/bench/experiments/cold_start.py
@@ -0,0 +1,23 @@
+"""Every tenth target restarts and is cold for some seconds."""
+
+from jackdawpass.bench import experiment, layout
+
+SHARE = 10
+COLD_SECONDS = 4.0
+
+
+def _restart_some(current: experiment.Round) -> None:
+    for name in current.running.targets[::SHARE]:
+        current.running.control(name, "options", {"cold_seconds": COLD_SECONDS})
+        current.running.control(name, "stop")
+        current.running.control(name, "restart")
+
+
+EXPERIMENT = experiment.Experiment(
+    name="cold-start",
+    title="Every tenth target restarts cold",
+    sizes=layout.Layout(cold_factor=10.0),
+    phases=experiment.make_steady_load(14),
+    windows=experiment.make_windows(("before", 1, 4), ("cold", 4, 8), ("after", 9, 14)),
+    events=(experiment.Event(4, _restart_some),),
+)
--- /dev/null
+++ b/jackdawpass/bench/experiments/one_straggler.py
@@ -0,0 +1,20 @@
+"""One target of 60 shards straggles at every request."""
+
+from jackdawpass.bench import experiment, layout
+
+STRAGGLER = layout.target_name(7, 0)
+STRAGGLE_MS = 300.0
+
+
+def _slow_one(current: experiment.Round) -> None:
+    current.running.faults(STRAGGLER, straggle_share=1.0, straggle_ms=STRAGGLE_MS)
+
+
+EXPERIMENT = experiment.Experiment(
+    name="one-straggler",
+    title="One straggler in 60 shards",
+    sizes=layout.Layout(),
+    phases=experiment.make_steady_load(14),
+    windows=experiment.make_windows(("before", 1, 2), ("straggling", 4, 14)),
+    events=(experiment.Event(2, _slow_one),),
+)
--- /dev/null
+++ b/jackdawpass/bench/load.py
@@ -0,0 +1,246 @@
+"""Open-loop load generator; run as a process of its own.
+
+The first line of the standard input is a `Task` as JSON; each later line replaces the
+addresses. At the end a `Record` of all queries is written to the standard output.
+"""
+
+import collections
+import os
+import sys
+import typing
+
+import msgspec
+from twisted.internet import endpoints, protocol, stdio
+from twisted.protocols import basic
+
+from jackdawpass import clock
+from jackdawpass.bench import schedule
+from jackdawpass.connection import dialect, exchange
+
+CONNECT_TIMEOUT_SECONDS = 2.0
+DRAIN_SECONDS = 2.0
+
+
+class Task(msgspec.Struct):
+    """What to send.
+
+    Attributes
+    ----------
+    addresses : list of int
+        Ports of the entry instances, used in turn.
+    path : str
+        Path of the query resource.
+    body : str
+        Body of each query.
+    start_at : float
+        Monotonic time of the start.
+    timeout_ms : int
+        Deadline of the queries; bounds the wait after the last arrival.
+    """
+
+    addresses: list[int]
+    path: str
+    body: str
+    seed: int
+    phases: list[schedule.Phase]
+    start_at: float
+    timeout_ms: int
+
+
+class Record(msgspec.Struct):
+    """Columns with one entry per query.
+
+    Attributes
+    ----------
+    starts : list of float
+        Intended start in seconds after the start of the load.
+    latencies_ms : list of float
+        From the intended start to the end.
+    outcomes : list of str
+        ``answer``, the outcome of a problem document, or ``broken``.
+    covered, shards : list of int
+        Coverage of the answer; 0 without one.
+    lags_ms : list of float
+        From the intended start to the actual one: the generator's own delay.
+    """
+
+    starts: list[float] = []
+    latencies_ms: list[float] = []
+    outcomes: list[str] = []
+    covered: list[int] = []
+    shards: list[int] = []
+    lags_ms: list[float] = []
+
+
+class _Coverage(msgspec.Struct):
+    shards: int
+    covered: int
+
+
+class _Reply(msgspec.Struct):
+    outcome: str = "answer"
+    coverage: _Coverage | None = None
+
+
+class _Factory(protocol.Factory):
+    noisy = False
+
+    def __init__(self, owner: exchange.Owner) -> None:
+        self._owner = owner
+
+    def buildProtocol(self, addr: object) -> exchange.Exchange:
+        return exchange.Exchange(self._owner)
+
+
+class Connections:
+    """Kept connections to one entry instance; opens another when none is idle."""
+
+    def __init__(self, reactor: typing.Any, port: int) -> None:
+        self._endpoint = endpoints.TCP4ClientEndpoint(
+            reactor, "127.0.0.1", port, timeout=CONNECT_TIMEOUT_SECONDS
+        )
+        self._idle: collections.deque[exchange.Exchange] = collections.deque()
+
+    def send(self, request: bytes, on_done: exchange.OnDone) -> None:
+        """Send a request at once."""
+        if self._idle:
+            self._idle.pop().send(request, on_done)
+            return
+        connecting = self._endpoint.connect(_Factory(self))
+        connecting.addCallbacks(
+            lambda connection: connection.send(request, on_done),
+            lambda _: on_done(exchange.Loss.CONNECTION_LOST),
+        )
+
+    def on_idle(self, connection: exchange.Exchange) -> None:
+        """Keep a connection whose reply is complete."""
+        self._idle.append(connection)
+
+    def on_closed(self, connection: exchange.Exchange) -> None:
+        """Forget a closed connection."""
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+
+class Generator:
+    """Sends queries at their intended times, whatever happens to earlier ones."""
+
+    def __init__(self, reactor: typing.Any, task: Task) -> None:
+        self._reactor = reactor
+        self._task = task
+        self._arrivals = schedule.arrivals(task.seed, task.phases)
+        self._record = Record()
+        self._next = 0
+        self._outstanding: set[int] = set()
+        self._connections: dict[int, Connections] = {}
+        self._lags_ms: dict[int, float] = {}
+        body = task.body.encode()
+        head = (
+            f"POST {task.path} HTTP/1.1\r\nHost: entry\r\n"
+            f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        self._request = head.encode("ascii") + body
+
+    @property
+    def record(self) -> Record:
+        """The queries that have ended."""
+        return self._record
+
+    def start(self) -> None:
+        """Schedule the first query."""
+        self._schedule()
+
+    def set_addresses(self, addresses: list[int]) -> None:
+        """Use other entry instances from the next query on."""
+        self._task.addresses = addresses
+
+    def _schedule(self) -> None:
+        if self._next < len(self._arrivals):
+            at = self._task.start_at + self._arrivals[self._next]
+            delay = max(0.0, at - clock.monotonic())
+            self._reactor.callLater(delay, self._send)
+        elif self._outstanding:
+            seconds = self._task.timeout_ms / 1000 + DRAIN_SECONDS
+            self._reactor.callLater(seconds, self._give_up)
+        else:
+            self._finish()
+
+    def _send(self) -> None:
+        number = self._next
+        self._next += 1
+        self._outstanding.add(number)
+        port = self._task.addresses[number % len(self._task.addresses)]
+        if port not in self._connections:
+            self._connections[port] = Connections(self._reactor, port)
+        self._lags_ms[number] = self._age_ms(number)
+        self._connections[port].send(
+            self._request, lambda outcome: self._on_done(number, outcome)
+        )
+        self._schedule()
+
+    def _age_ms(self, number: int) -> float:
+        intended = self._task.start_at + self._arrivals[number]
+        return (clock.monotonic() - intended) * 1000
+
+    def _on_done(self, number: int, outcome: dialect.HttpReply | exchange.Loss) -> None:
+        if number not in self._outstanding:
+            return
+        self._outstanding.discard(number)
+        reply = _Reply("broken")
+        if isinstance(outcome, dialect.HttpReply):
+            reply = msgspec.json.decode(outcome.body, type=_Reply)
+        coverage = reply.coverage or _Coverage(0, 0)
+        self._record.starts.append(self._arrivals[number])
+        self._record.latencies_ms.append(self._age_ms(number))
+        self._record.outcomes.append(reply.outcome)
+        self._record.covered.append(coverage.covered)
+        self._record.shards.append(coverage.shards)
+        self._record.lags_ms.append(self._lags_ms.pop(number))
+        if not self._outstanding and self._next == len(self._arrivals):
+            self._finish()
+
+    def _give_up(self) -> None:
+        for number in list(self._outstanding):
+            self._on_done(number, exchange.Loss.CONNECTION_LOST)
+
+    def _finish(self) -> None:
+        if self._reactor.running:
+            self._reactor.stop()
+
+
+class _Commands(basic.LineOnlyReceiver):
+    delimiter = b"\n"
+    MAX_LENGTH = 1_000_000
+
+    def __init__(self, reactor: typing.Any) -> None:
+        self._reactor = reactor
+        self._generator: Generator | None = None
+
+    @property
+    def record(self) -> Record:
+        return Record() if self._generator is None else self._generator.record
+
+    def lineReceived(self, line: bytes) -> None:
+        if self._generator is None:
+            task = msgspec.json.decode(line, type=Task)
+            self._generator = Generator(self._reactor, task)
+            self._generator.start()
+        else:
+            self._generator.set_addresses(msgspec.json.decode(line, type=list[int]))
+
+
+def main() -> None:
+    """Run the generator until all queries have ended."""
+    from twisted.internet import reactor
+
+    commands = _Commands(reactor)
+    stdio.StandardIO(commands, reactor=reactor)
+    reactor.run()
+    # The reactor made the standard output non-blocking; a record exceeds a pipe.
+    os.set_blocking(sys.stdout.fileno(), True)
+    sys.stdout.buffer.write(msgspec.json.encode(commands.record) + b"\n")
+    sys.stdout.buffer.flush()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/jackdawpass/bench/measure.py
@@ -0,0 +1,157 @@
+"""The three measures of a window of time, as pure functions of a record."""
+
+import collections.abc
+import dataclasses
+import math
+
+import hdrh.histogram
+
+from jackdawpass.bench import load
+
+HIGHEST_MICROSECONDS = 600_000_000
+SIGNIFICANT_DIGITS = 3
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Window:
+    """A named time of a run, in seconds from its start."""
+
+    name: str
+    begin: float
+    end: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Measures:
+    """What callers saw of the queries that were to start in a window.
+
+    Attributes
+    ----------
+    latency_ms : dict of str to float
+        Percentiles over all queries; one without an answer counts with the timeout
+        at least, so that refusing does not improve the tail.
+    coverage_mean, coverage_min : float
+        Covered share of shards over all queries; 0 for one without an answer.
+    complete_share : float
+        Share of queries with a complete answer.
+    goodput : float
+        Complete answers within the timeout, per second.
+    outcomes : dict of str to int
+        Number of queries by outcome.
+    """
+
+    queries: int
+    latency_ms: dict[str, float]
+    coverage_mean: float
+    coverage_min: float
+    complete_share: float
+    goodput: float
+    outcomes: dict[str, int]
+
+
+def select(record: load.Record, window: Window) -> list[int]:
+    """Return the positions of the queries that were to start in a window."""
+    return [
+        position
+        for position, start in enumerate(record.starts)
+        if window.begin <= start < window.end
+    ]
+
+
+def histogram(
+    record: load.Record, positions: collections.abc.Iterable[int], timeout_ms: float
+) -> hdrh.histogram.HdrHistogram:
+    """Return the histogram of the latencies in microseconds."""
+    counts = hdrh.histogram.HdrHistogram(1, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS)
+    for position in positions:
+        latency_ms = record.latencies_ms[position]
+        if record.outcomes[position] != "answer":
+            latency_ms = max(latency_ms, timeout_ms)
+        counts.record_value(max(1, round(latency_ms * 1000)))
+    return counts
+
+
+def summarize(
+    records: collections.abc.Sequence[load.Record], window: Window, timeout_ms: float
+) -> Measures:
+    """Return the measures of a window over the records of all rounds."""
+    joined = join(records)
+    positions = select(joined, window)
+    counts = histogram(joined, positions, timeout_ms)
+    coverages = [_coverage(joined, position) for position in positions]
+    timely = [
+        position
+        for position in positions
+        if _coverage(joined, position) == 1
+        and joined.latencies_ms[position] <= timeout_ms
+    ]
+    seconds = (window.end - window.begin) * len(records)
+    queries = len(positions)
+    return Measures(
+        queries=queries,
+        latency_ms={
+            f"p{percentile:g}": counts.get_value_at_percentile(percentile) / 1000
+            for percentile in PERCENTILES
+        },
+        coverage_mean=sum(coverages) / queries if queries else math.nan,
+        coverage_min=min(coverages, default=math.nan),
+        complete_share=coverages.count(1) / queries if queries else math.nan,
+        goodput=len(timely) / seconds if seconds else math.nan,
+        outcomes=dict(collections.Counter(joined.outcomes[p] for p in positions)),
+    )
+
+
+def join(records: collections.abc.Iterable[load.Record]) -> load.Record:
+    """Return one record of all queries."""
+    joined = load.Record()
+    for record in records:
+        for field in load.Record.__struct_fields__:
+            getattr(joined, field).extend(getattr(record, field))
+    return joined
+
+
+def per_second(
+    record: load.Record, seconds: float, timeout_ms: float
+) -> list[tuple[float, float, float]]:
+    """Return start, 99th percentile in ms and mean coverage of each second."""
+    rows = []
+    for begin in range(math.ceil(seconds)):
+        positions = select(record, Window("", begin, begin + 1))
+        if positions:
+            counts = histogram(record, positions, timeout_ms)
+            p99 = counts.get_value_at_percentile(99.0) / 1000
+            covered = sum(_coverage(record, each) for each in positions)
+            rows.append((float(begin), p99, covered / len(positions)))
+    return rows
+
+
+def recovery_seconds(
+    rows: collections.abc.Iterable[tuple[float, float, float]],
+    after: float,
+    steady_p99_ms: float,
+) -> float:
+    """Return the seconds from `after` to the end of the last slow second.
+
+    A second is slow while its 99th percentile exceeds 1.5 times the steady one.
+    """
+    slow = [begin for begin, p99, _ in rows if p99 > 1.5 * steady_p99_ms]
+    return max([begin + 1 - after for begin in slow if begin >= after], default=0.0)
+
+
+def extra_load(received: int, queries: int, shards: int) -> float:
+    """Return sub-requests beyond one per shard and query, as a share of those."""
+    wanted = queries * shards
+    return received / wanted - 1 if wanted else math.nan
+
+
+def ratio(chosen: float, naive: float) -> float:
+    """Return chosen / naive; 1 when both are zero and NaN when only naive is."""
+    if naive:
+        return chosen / naive
+    return 1.0 if not chosen else math.nan
+
+
+def _coverage(record: load.Record, position: int) -> float:
+    shards = record.shards[position]
+    return record.covered[position] / shards if shards else 0.0
--- /dev/null
+++ b/jackdawpass/bench/path_cost.py
@@ -0,0 +1,191 @@
+"""Processor time and memory that an entry instance spends on its data path."""
+
+import dataclasses
+import json
+import pathlib
+import statistics
+import time
+import typing
+
+from jackdawpass.bench import cluster, generators, layout, processes, schedule
+
+TITLE = "Processor time and memory of an entry instance"
+TARGETS = (10, 50, 100, 190)
+ROUNDS = 3
+SECONDS = 4.0
+# Sub-requests per second that leave an entry instance mostly idle.
+SUB_REQUEST_RATE = 1500.0
+HELD_QUERIES = 40
+PROFILED_QUERIES_PER_SECOND = 8.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Costs:
+    """What was measured.
+
+    Attributes
+    ----------
+    query_us : dict of int to float
+        Processor time per query in microseconds by the number of targets.
+    per_query_us, per_sub_request_us : float
+        Intercept and slope of a line through `query_us`.
+    agent_us : float
+        Processor time per exchange of ``twisted.web``'s Agent.
+    connection_bytes : float
+        Memory per connection to a target.
+    held_query_bytes : float
+        Memory per query in flight to 190 targets, its connections included.
+    """
+
+    query_us: dict[int, float]
+    per_query_us: float
+    per_sub_request_us: float
+    agent_us: float
+    connection_bytes: float
+    held_query_bytes: float
+
+
+def run(seed: int, scale: float, out: pathlib.Path) -> Costs:
+    """Measure; also write a cProfile profile at the largest number of targets."""
+    agent_us = _agent_us(seed, scale)
+    query_us = {count: _query_us(count, seed, SECONDS * scale) for count in TARGETS}
+    slope, intercept = statistics.linear_regression(
+        list(query_us.keys()), list(query_us.values())
+    )
+    _profile(seed, SECONDS * scale, out / "path-cost.prof")
+    held = _held(seed)
+    return Costs(query_us, intercept, slope, agent_us, *held)
+
+
+def render(costs: Costs) -> str:
+    """Return the costs as text."""
+    lines = [TITLE]
+    for count, cost in costs.query_us.items():
+        lines.append(f"{count:>4} targets: {cost:>9.0f} us per query")
+    lines += [
+        f"per sub-request {costs.per_sub_request_us:.0f} us, "
+        f"per query {costs.per_query_us:.0f} us",
+        f"twisted.web Agent: {costs.agent_us:.0f} us per exchange",
+        f"memory per connection {costs.connection_bytes / 1024:.1f} KiB, per query in "
+        f"flight to {TARGETS[-1]} targets {costs.held_query_bytes / 1024:.0f} KiB",
+    ]
+    return "\n".join(lines)
+
+
+def _sizes(targets: int, **changes: typing.Any) -> layout.Layout:
+    plain = layout.Layout(
+        shards=targets,
+        replicas=1,
+        zones=("a",),
+        connect_ms=0.0,
+        service_ms=0.5,
+        spread=0.0,
+        timeout_ms=5000,
+        instances_max=1,
+    )
+    return dataclasses.replace(plain, **changes)
+
+
+def _query_us(targets: int, seed: int, seconds: float) -> float:
+    """Return the median over rounds of the processor time per query."""
+    sizes = _sizes(targets)
+    running = cluster.Cluster(sizes, seed, (cluster.CHOSEN,))
+    try:
+        entry = running.entries(cluster.CHOSEN)[0]
+        rate = SUB_REQUEST_RATE / targets
+        _load(sizes, entry, rate, 1.0, seed)
+        costs = []
+        for number in range(ROUNDS):
+            before = entry.cpu_seconds
+            queries = _load(sizes, entry, rate, seconds, seed + number)
+            costs.append((entry.cpu_seconds - before) / queries * 1_000_000)
+        return statistics.median(costs)
+    finally:
+        running.close()
+
+
+def _load(
+    sizes: layout.Layout,
+    entry: processes.Server,
+    rate: float,
+    seconds: float,
+    seed: int,
+) -> int:
+    """Put load on an entry instance; return the number of complete answers."""
+    phases = [schedule.Phase(seconds, rate)]
+    start_at = time.monotonic() + 0.5
+    loading = generators.Generators(sizes, phases, [entry.port], seed, start_at)
+    try:
+        record = loading.finish()
+    finally:
+        loading.close()
+    if any(covered != sizes.shards for covered in record.covered):
+        raise RuntimeError("an answer was not complete; the costs would be wrong")
+    return len(record.starts)
+
+
+def _profile(seed: int, seconds: float, path: pathlib.Path) -> None:
+    sizes = _sizes(TARGETS[-1])
+    flags = ("--profile", str(path))
+    running = cluster.Cluster(sizes, seed, (cluster.CHOSEN,), flags)
+    try:
+        entry = running.entries(cluster.CHOSEN)[0]
+        _load(sizes, entry, PROFILED_QUERIES_PER_SECOND, seconds, seed)
+        running.stop_entry(entry)
+    finally:
+        running.close()
+
+
+def _held(seed: int) -> tuple[float, float]:
+    """Return the memory per connection, and per query in flight, in bytes.
+
+    The targets never answer. The first half of the queries opens a connection for each
+    sub-request; the second half, without a free connection, only waits.
+    """
+    sizes = _sizes(TARGETS[-1], connections=HELD_QUERIES, timeout_ms=60_000)
+    running = cluster.Cluster(sizes, seed, (cluster.CHOSEN,))
+    try:
+        entry = running.entries(cluster.CHOSEN)[0]
+        _load(sizes, entry, SUB_REQUEST_RATE / sizes.shards, 1.0, seed)
+        running.control_all("faults", {"stall": True})
+        empty = entry.resident_bytes
+        first = _hold(sizes, entry, seed)
+        with_connections = entry.resident_bytes
+        second = _hold(sizes, entry, seed + 1)
+        waiting = entry.resident_bytes
+        for each in (first, second):
+            each.close()
+    finally:
+        running.close()
+    per_query = (waiting - with_connections) / HELD_QUERIES
+    opened = HELD_QUERIES * sizes.shards
+    connections = with_connections - empty - per_query * HELD_QUERIES
+    return connections / opened, per_query
+
+
+def _hold(
+    sizes: layout.Layout, entry: processes.Server, seed: int
+) -> generators.Generators:
+    """Start queries that stay in flight, and wait until all are sent."""
+    rate = 20.0
+    start_at = time.monotonic() + 0.5
+    phases = [schedule.Phase(HELD_QUERIES / rate, rate)]
+    holding = generators.Generators(sizes, phases, [entry.port], seed, start_at)
+    time.sleep(0.5 + HELD_QUERIES / rate + 2.0)
+    return holding
+
+
+def _agent_us(seed: int, scale: float) -> float:
+    """Return the processor time of an exchange through ``twisted.web``'s Agent."""
+    sizes = _sizes(TARGETS[0])
+    running = cluster.Cluster(sizes, seed, ())
+    try:
+        task = {
+            "ports": [running.ports[name] for name in sizes.placement],
+            "exchanges": max(200, round(3000 * scale)),
+        }
+        measuring = processes.start("jackdawpass.bench.agent_cost")
+        output, _ = measuring.communicate(json.dumps(task))
+        return float(json.loads(output)["cpu_us"])
+    finally:
+        running.close()
--- /dev/null
+++ b/jackdawpass/bench/processes.py
@@ -0,0 +1,98 @@
+"""Processes started by experiments, their control and their resource usage."""
+
+import collections.abc
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import typing
+import urllib.error
+import urllib.request
+
+CALL_TIMEOUT_SECONDS = 10.0
+_PACKAGE_ROOT = pathlib.Path(__file__).resolve().parents[2]
+_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+def call(method: str, url: str, document: object = None, **headers: str) -> typing.Any:
+    """Make one HTTP call; return the status and the decoded body."""
+    body = None if document is None else json.dumps(document).encode()
+    names = {name.replace("_", "-"): value for name, value in headers.items()}
+    request = urllib.request.Request(url, data=body, method=method, headers=names)
+    try:
+        with urllib.request.urlopen(request, timeout=CALL_TIMEOUT_SECONDS) as reply:
+            content = reply.read()
+            return reply.status, json.loads(content) if content else None
+    except urllib.error.HTTPError as error:
+        return error.code, error.read()
+
+
+def start(module: str, *arguments: str) -> subprocess.Popen[str]:
+    """Start a module of this package with pipes on its input and output."""
+    return subprocess.Popen(
+        [sys.executable, "-m", module, *arguments],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+        env={**os.environ, "PYTHONPATH": str(_PACKAGE_ROOT)},
+    )
+
+
+class Server:
+    """A process of the command line that prints its ports on its first line."""
+
+    def __init__(self, arguments: collections.abc.Sequence[str]) -> None:
+        self._popen = start("jackdawpass", *arguments)
+        assert self._popen.stdout is not None
+        line = self._popen.stdout.readline()
+        if not line:
+            code = self._popen.wait()
+            raise RuntimeError(f"{arguments[:2]} ended with exit code {code}")
+        self._ports: dict[str, typing.Any] = json.loads(line)
+
+    @property
+    def ports(self) -> dict[str, typing.Any]:
+        """Ports that the process printed."""
+        return self._ports
+
+    @property
+    def port(self) -> int:
+        """The main port."""
+        return int(self._ports["port"])
+
+    @property
+    def url(self) -> str:
+        """Base URL of the main port."""
+        return f"http://127.0.0.1:{self.port}"
+
+    @property
+    def cpu_seconds(self) -> float:
+        """Processor time used so far, user and system."""
+        text = pathlib.Path(f"/proc/{self._popen.pid}/stat").read_text()
+        fields = text.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / _TICKS_PER_SECOND
+
+    @property
+    def resident_bytes(self) -> int:
+        """Resident memory."""
+        text = pathlib.Path(f"/proc/{self._popen.pid}/statm").read_text()
+        return int(text.split()[1]) * _PAGE_BYTES
+
+    def terminate(self) -> None:
+        """Ask the process to stop gracefully."""
+        self._popen.terminate()
+
+    def wait(self, timeout: float) -> None:
+        """Wait for the end of the process."""
+        self._popen.wait(timeout)
+
+    def stop(self) -> None:
+        """Kill the process if it still runs, and reap it."""
+        if self._popen.poll() is None:
+            self._popen.kill()
+        self._popen.wait()
+        for pipe in (self._popen.stdin, self._popen.stdout):
+            if pipe is not None:
+                pipe.close()
--- /dev/null
+++ b/jackdawpass/bench/suite.py
@@ -0,0 +1,69 @@
+"""Lists and runs experiments by name and writes their results."""
+
+import dataclasses
+import json
+import pathlib
+import typing
+
+from jackdawpass.bench import (
+    experiment,
+    experiments,
+    path_cost,
+    plots,
+    report,
+    runner,
+)
+
+PATH_COST = "path-cost"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Options:
+    """How to run an experiment; `scale` multiplies all times."""
+
+    seed: int
+    scale: float
+    rounds: int
+    out: pathlib.Path
+
+
+def titles() -> dict[str, str]:
+    """Return the title of each experiment by its name."""
+    listed = {each.name: each.title for each in experiments.ALL.values()}
+    listed[PATH_COST] = path_cost.TITLE
+    return listed
+
+
+def run(name: str, options: Options) -> str:
+    """Run an experiment, write its results and return their text."""
+    options.out.mkdir(parents=True, exist_ok=True)
+    if name == PATH_COST:
+        return _run_path_cost(options)
+    return _run_experiment(experiments.ALL[name].scaled(options.scale), options)
+
+
+def _run_experiment(chosen: experiment.Experiment, options: Options) -> str:
+    results = runner.run(chosen, options.seed, options.rounds)
+    summary = runner.summarize(chosen, results)
+    document = {
+        "experiment": chosen.name,
+        "seed": options.seed,
+        "scale": options.scale,
+        "rounds": options.rounds,
+        "sizes": dataclasses.asdict(chosen.sizes),
+        "policies": summary,
+        "ratios": report.ratios(summary),
+    }
+    _write_json(options.out / f"{chosen.name}.json", document)
+    plots.write(options.out / f"{chosen.name}.png", chosen, results, summary)
+    return report.render(chosen.title, summary)
+
+
+def _run_path_cost(options: Options) -> str:
+    costs = path_cost.run(options.seed, options.scale, options.out)
+    _write_json(options.out / f"{PATH_COST}.json", dataclasses.asdict(costs))
+    return path_cost.render(costs)
+
+
+def _write_json(path: pathlib.Path, document: dict[str, typing.Any]) -> None:
+    path.write_text(json.dumps(document, indent=1), encoding="utf-8")
--- a/jackdawpass/cli.py
+++ b/jackdawpass/cli.py
@@ -5,13 +5,13 @@
 import typing
 
 from jackdawpass import __version__
-from jackdawpass.commands import demo, entry, stand_in
+from jackdawpass.commands import bench, demo, entry, stand_in
 
 EXIT_DONE = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 
-COMMANDS: tuple[typing.Any, ...] = (entry, stand_in, demo)
+COMMANDS: tuple[typing.Any, ...] = (entry, stand_in, bench, demo)
 
 
 def make_parser() -> argparse.ArgumentParser:
--- /dev/null
+++ b/jackdawpass/commands/bench.py
@@ -0,0 +1,37 @@
+"""Command `bench`: measure the policy against a naive baseline."""
+
+import argparse
+import pathlib
+import sys
+import typing
+
+
+def add_parser(subparsers: typing.Any) -> None:
+    """Add the command to the parser."""
+    parser = subparsers.add_parser("bench", help=__doc__)
+    parser.add_argument("experiment", nargs="?", metavar="EXPERIMENT")
+    parser.add_argument("--list", action="store_true", help="list the experiments")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--scale", type=float, default=1.0, help="factor of all times")
+    parser.add_argument("--rounds", type=int, default=2, help="rounds of each policy")
+    parser.add_argument("--out", default="bench-out", help="directory of the results")
+    parser.set_defaults(run=run)
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Run one experiment; return 2 when there is none of that name."""
+    # Imported here, since matplotlib would cost every other command time and memory.
+    from jackdawpass.bench import suite
+
+    titles = suite.titles()
+    if arguments.list:
+        print("\n".join(f"{name:<22}{title}" for name, title in titles.items()))
+        return 0
+    if arguments.experiment not in titles:
+        print(f"no experiment {arguments.experiment!r}; see --list", file=sys.stderr)
+        return 2
+    options = suite.Options(
+        arguments.seed, arguments.scale, arguments.rounds, pathlib.Path(arguments.out)
+    )
+    print(suite.run(arguments.experiment, options))
+    return 0
--- a/jackdawpass/standins/target.py
+++ b/jackdawpass/standins/target.py
@@ -51,6 +51,7 @@
         self._frozen_load: dict[str, int] = {}
         self._listening: typing.Any = None
         self._port = options.port
+        self._stopped = False
         self._cold_runs = options.cold_requests
         self._warm_at = 0.0
 
@@ -77,16 +78,19 @@
             port or self._port, wire.ServerFactory(self), interface=host
         )
         self._port = self._listening.getHost().port
+        self._stopped = False
         return self._listening
 
     def stop(self) -> None:
         """Stop listening and reset all connections, as a killed process would."""
         self._listening.stopListening()
+        self._stopped = True
         self.close_connections()
 
     def restart(self) -> None:
-        """Listen on the same port again, cold."""
-        self.listen()
+        """Listen on the same port again, cold; do nothing while it listens."""
+        if self._stopped:
+            self.listen()
 
     def close_connections(self) -> None:
         """Reset all connections."""
