--- a/jackdawpass/commands/bench.py
+++ b/jackdawpass/commands/bench.py
@@ -2,6 +2,7 @@
 
 import argparse
 import pathlib
+import signal
 import sys
 import typing
 
@@ -33,5 +34,11 @@
     options = suite.Options(
         arguments.seed, arguments.scale, arguments.rounds, pathlib.Path(arguments.out)
     )
+    # The default action would leave the started processes behind.
+    signal.signal(signal.SIGTERM, _exit)
     print(suite.run(arguments.experiment, options))
     return 0
+
+
+def _exit(number: int, frame: object) -> None:
+    sys.exit(128 + number)
--- a/jackdawpass/standins/target.py
+++ b/jackdawpass/standins/target.py
@@ -257,7 +257,7 @@
             job.connection.reply(status, document)
 
     def _results(self, run: slots.Run, shard: int) -> list[dict[str, typing.Any]]:
-        results = corpus.shard_results(run.service, run.snapshot, shard)
+        results = corpus.shard_results(run.service, run.snapshot, shard, run.query)
         if len(results) > run.limit:
             results.sort(key=lambda item: (-item["score"], item["id"]))
             del results[run.limit :]
