--- a/jackdawpass/bench/path_cost.py
+++ b/jackdawpass/bench/path_cost.py
@@ -139,8 +139,8 @@
 def _held(seed: int) -> tuple[float, float]:
     """Return the memory per connection, and per query in flight, in bytes.
 
-    The targets never answer. The first half of the queries opens a connection for each
-    sub-request; the second half, without a free connection, only waits.
+    The targets never answer. The first half of the queries opens connections up to the
+    limit; the second half, without a free connection, only waits.
     """
     sizes = _sizes(TARGETS[-1], connections=HELD_QUERIES, timeout_ms=60_000)
     running = cluster.Cluster(sizes, seed, (cluster.CHOSEN,))
@@ -149,8 +149,10 @@
         _load(sizes, entry, SUB_REQUEST_RATE / sizes.shards, 1.0, seed)
         running.control_all("faults", {"stall": True})
         empty = entry.resident_bytes
+        opened_before = _opened(running)
         first = _hold(sizes, entry, seed)
         with_connections = entry.resident_bytes
+        opened = _opened(running) - opened_before
         second = _hold(sizes, entry, seed + 1)
         waiting = entry.resident_bytes
         for each in (first, second):
@@ -158,11 +160,15 @@
     finally:
         running.close()
     per_query = (waiting - with_connections) / HELD_QUERIES
-    opened = HELD_QUERIES * sizes.shards
     connections = with_connections - empty - per_query * HELD_QUERIES
     return connections / opened, per_query
 
 
+def _opened(running: cluster.Cluster) -> int:
+    totals = running.control_all("totals").values()
+    return sum(each["connections_opened"] for each in totals)
+
+
 def _hold(
     sizes: layout.Layout, entry: processes.Server, seed: int
 ) -> generators.Generators:
