Write a sub-request to an idle connection at once

Cause: transport.write() only registers the socket for writing, so each sub-request cost two epoll_ctl calls and another turn of the reactor. Change: Exchange sends on the socket directly when the transport gives its handle and leaves the rest, or a failed send, to the transport.

--- a/jackdawpass/connection/exchange.py
+++ b/jackdawpass/connection/exchange.py
@@ -1,11 +1,12 @@
 """HTTP/1.1 client connection that carries one exchange at a time."""
 
 import collections.abc
+import contextlib
 import enum
 import typing
 
 import httptools
-from twisted.internet import protocol
+from twisted.internet import interfaces, protocol
 from twisted.python import failure
 
 from jackdawpass.connection import dialect
@@ -61,8 +62,7 @@
         if self._on_done is not None or self._closed:
             raise RuntimeError("the connection is not idle; take another one")
         self._on_done = on_done
-        assert self.transport is not None
-        self.transport.write(request)
+        self._write(request)
 
     def abort(self) -> None:
         """Close the connection at once and drop its outstanding exchange."""
@@ -109,6 +109,18 @@
         # The parser forgets this once it is ready for the next message.
         self._keep_alive = self._parser.should_keep_alive()
 
+    def _write(self, data: bytes) -> None:
+        # An idle connection has nothing buffered, so the bytes can go out at once; the
+        # transport would register for writing and wait for a turn of the reactor.
+        assert self.transport is not None
+        sent = 0
+        if interfaces.ISystemHandle.providedBy(self.transport):
+            with contextlib.suppress(OSError):
+                handle: typing.Any = self.transport.getHandle()
+                sent = handle.send(data)
+        if sent < len(data):
+            self.transport.write(data[sent:])
+
     def _finish(self) -> None:
         on_done, self._on_done = self._on_done, None
         assert on_done is not None
