--- a/jackdawpass/cli.py
+++ b/jackdawpass/cli.py
@@ -7,6 +7,7 @@
 
 from jackdawpass import __version__
 from jackdawpass.commands import (
+    bench,
     config,
     console,
     demo,
@@ -30,6 +31,7 @@
     timeline,
     version,
     stand_in,
+    bench,
     demo,
 )
 
--- a/jackdawpass/commands/entry.py
+++ b/jackdawpass/commands/entry.py
@@ -1,6 +1,7 @@
 """Command `entry`: run one entry instance."""
 
 import argparse
+import cProfile
 import dataclasses
 import json
 import os
@@ -11,8 +12,9 @@
 
 from returns import result
 
+from jackdawpass.bench import naive
 from jackdawpass.commands import console
-from jackdawpass.process import adaptive, entry, logs, settings
+from jackdawpass.process import adaptive, entry, logs, policy, settings
 
 EXAMPLE = """example:
   jackdawpass entry --settings entry.json --zone a --check
@@ -39,6 +41,9 @@
         parser.add_argument(
             settings.flag(name), dest=f"setting_{name}", metavar=kind.__name__.upper()
         )
+    # For measurements only: the naive policy that `bench` compares with.
+    parser.add_argument("--baseline", action="store_true", help=argparse.SUPPRESS)
+    parser.add_argument("--profile", help=argparse.SUPPRESS)
     parser.set_defaults(run=run)
 
 
@@ -51,7 +56,7 @@
     if arguments.check:
         _print_settings(effective, arguments.format)
         return console.EXIT_DONE
-    return _serve(effective.settings)
+    return _serve(effective.settings, arguments)
 
 
 def _load(arguments: argparse.Namespace) -> settings.Loaded:
@@ -81,7 +86,7 @@
     console.show(rows, output)
 
 
-def _serve(options: settings.EntrySettings) -> int:
+def _serve(options: settings.EntrySettings, arguments: argparse.Namespace) -> int:
     from twisted.internet import error, reactor
 
     sampler = logs.Sampler(
@@ -90,8 +95,7 @@
     log = logs.configure(options.instance, options.zone, sampler)
     # Whoever starts an instance reads its port from the first line.
     log.hold()
-    decisions = adaptive.AdaptivePolicy(options.zone, random.Random())
-    instance = entry.Entry(reactor, options, decisions)
+    instance = entry.Entry(reactor, options, _make_policy(arguments, options))
     try:
         instance.start()
     except error.CannotListenError as failure:
@@ -102,10 +106,27 @@
     print(json.dumps({"port": instance.port}), flush=True)
     log.release()
     outcomes = _stop_when_drained(reactor, instance)
-    reactor.run(installSignalHandlers=False)  # type: ignore[call-arg]
+    _run_reactor(reactor, arguments.profile)
     return console.EXIT_DONE if outcomes == [True] else console.EXIT_FAILED
 
 
+def _make_policy(
+    arguments: argparse.Namespace, options: settings.EntrySettings
+) -> policy.Policy:
+    if arguments.baseline:
+        return naive.NaivePolicy()
+    return adaptive.AdaptivePolicy(options.zone, random.Random())
+
+
+def _run_reactor(reactor: typing.Any, profile_path: str | None) -> None:
+    if profile_path is None:
+        reactor.run(installSignalHandlers=False)
+        return
+    profile = cProfile.Profile()
+    profile.runcall(reactor.run, installSignalHandlers=False)
+    profile.dump_stats(profile_path)
+
+
 def _stop_when_drained(reactor: typing.Any, instance: entry.Entry) -> list[bool]:
     outcomes: list[bool] = []
 
--- a/jackdawpass/timeline/merge.py
+++ b/jackdawpass/timeline/merge.py
@@ -75,9 +75,9 @@
         self.in_cycles = 0
         previous: events.Reference | None = None
         for reference in sorted(by_reference, key=lambda ref: (ref.process, ref.seq)):
-            causes = {by_reference[reference].cause, previous}
-            if previous is not None and previous.process != reference.process:
-                causes.discard(previous)
+            causes = {by_reference[reference].cause}
+            if previous is not None and previous.process == reference.process:
+                causes.add(previous)
             known = [each for each in causes if each in by_reference]
             self._waiting[reference] = len(known)
             for cause in known:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -95,7 +95,8 @@
         line = self._popen.stdout.readline()
         if not line:
             raise RuntimeError(f"{arguments} ended with {self._popen.wait()}")
-        self.port = int(json.loads(line)["port"])
+        self.first_line: dict[str, typing.Any] = json.loads(line)
+        self.port = int(self.first_line["port"])
         self.lines: list[str] = []
         self._reader = threading.Thread(target=self._read, daemon=True)
         self._reader.start()
@@ -205,7 +206,15 @@
 
     def faults(self, process: Process, **faults: typing.Any) -> None:
         """Induce faults in a stand-in; faults not named end."""
-        call("POST", process.url + "/control/faults", faults)
+        self.hosted_faults(process, "control", faults)
+
+    def hosted_faults(
+        self, process: Process, name: str, faults: dict[str, typing.Any]
+    ) -> None:
+        """Induce faults in one of the targets that a process hosts."""
+        answer = call("POST", f"{process.url}/{name}/faults", faults)
+        if answer.status != 200:
+            raise RuntimeError(f"faults {faults}: {answer}")
 
     def totals(self, target: str) -> dict[str, int]:
         """Return the counts of a target stand-in."""
--- a/tests/timeline/test_merge.py
+++ b/tests/timeline/test_merge.py
@@ -52,6 +52,17 @@
                 assert at[earlier] <= at[reference]
 
 
+def test_cause_at_the_end_of_the_process_sorted_before() -> None:
+    """Guards against a first event that forgets its cause in the previous process."""
+    first = sample.Writer("p-0", 0.0)
+    second = sample.Writer("p-1", -10.0)
+    cause = first.emit(1, events.Kind.ATTEMPT_SENT, None)
+    second.emit(2, events.Kind.ATTEMPT_REPLIED, cause)
+    timeline = merge.merge([*second.events, *first.events])
+    assert [entry.event.process for entry in timeline.entries] == ["p-0", "p-1"]
+    assert timeline.entries[0].at <= timeline.entries[1].at
+
+
 def test_offsets_are_estimated_from_causes_in_both_directions() -> None:
     """Guards against clocks that stay uncorrected although causes bound them."""
     timeline = merge.merge(sample.two_instances())
