Distribute versions and members between entry instances

Every instance watched the platform itself, so calls per change grew with the number of instances. Two readers per zone, chosen by rendezvous hashing, now watch the head; the others receive differences over links. Decisions are in pure modules (distribution, membership, schedule), actions in control, links and platform_duty. /readyz names its reason and /v1/control shows the state.

--- a/jackdawpass/commands/entry.py
+++ b/jackdawpass/commands/entry.py
@@ -29,7 +29,8 @@
         return 1
     instance = entry.Entry(reactor, options, policy.PlainPolicy(options.zone))
     instance.start()
-    print(json.dumps({"port": instance.port}), flush=True)
+    ports = {"port": instance.port, "peer_port": instance.peer_port}
+    print(json.dumps(ports), flush=True)
     _stop_on_signals(reactor, instance)
     reactor.run(installSignalHandlers=False)  # type: ignore[call-arg]
     return 0
--- a/jackdawpass/process/control.py
+++ b/jackdawpass/process/control.py
@@ -1,115 +1,333 @@
-"""Keeps the accepted configuration of this instance current."""
+"""Performs the actions of distribution and membership for one instance."""
 
 import collections.abc
+import dataclasses
+import logging
+import random
 import typing
+import uuid
 
+import msgspec
 from returns import result
 from twisted.internet import defer
 
-from jackdawpass import errors
-from jackdawpass.connection import platform_api
+from jackdawpass import clock
+from jackdawpass.connection import frames, peer_link, platform_api
+from jackdawpass.process import (
+    distribution,
+    links,
+    membership,
+    platform_duty,
+    settings,
+)
 from jackdawpass.version import catalog, parts
 
-WATCH_SECONDS = 30.0
-RETRY_SECONDS = 1.0
+TICK_SECONDS = 0.5
+PING_SECONDS = 1.0
+REPORT_SECONDS = 0.5
+MIN_LINKS = 2
+FIRST_LINKS_SECONDS = 2.0
 
 OnCatalog = collections.abc.Callable[[catalog.Catalog], None]
+OnMembers = collections.abc.Callable[[membership.MembersView], None]
+
+_log = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlStatus:
+    """What control of one instance knows and did.
+
+    Attributes
+    ----------
+    version : int
+        Accepted version, which is also offered to peers.
+    in_force : int
+        Version of the catalog in use; lower when a version declares no valid
+        configuration for this site.
+    news_age : float or None
+        Seconds since the platform confirmed the version, also through peers.
+    """
+
+    version: int
+    in_force: int
+    has_configuration: bool
+    is_reader: bool
+    news_age: float | None
+    view: membership.MembersView
+    links: tuple[str, ...]
+    calls: platform_duty.CallCounters
+    traffic: peer_link.LinkCounters
 
 
 class Control:
-    """Watches the head object and builds a catalog for each newer version."""
+    """Keeps the configuration and the member view of an instance current.
+
+    Parameters
+    ----------
+    reactor : reactor
+        The process's reactor.
+    platform : PlatformApi
+        The platform's object API.
+    options : EntrySettings
+        Settings of the instance.
+    on_catalog : callable
+        Called with each newer catalog.
+    on_members : callable
+        Called with each changed view of the members.
+    """
 
     def __init__(
         self,
         reactor: typing.Any,
         platform: platform_api.PlatformApi,
-        site: str,
+        options: settings.EntrySettings,
         on_catalog: OnCatalog,
+        on_members: OnMembers,
     ) -> None:
         self._reactor = reactor
-        self._platform = platform
-        self._site = site
+        self._options = options
         self._on_catalog = on_catalog
-        self._contents: dict[str, bytes] = {}
-        self._version = 0
-        self._object_version = 0
+        self._on_members = on_members
+        self._incarnation = uuid.uuid4().hex
+        self._rng = random.Random()
+        self._links = links.Links(reactor, self, self._rng)
+        self._duty = platform_duty.PlatformDuty(platform, self, self._rng)
+        self._distribution = distribution.Distribution()
+        self._membership: membership.Membership
+        self._address = ""
+        self._in_force = 0
+        self._view: membership.MembersView | None = None
+        self._reported: frames.Members | None = None
+        self._report_at = 0.0
+        self._ping_at = 0.0
+        self._timer: typing.Any = None
+        self._settled = False
+        self._started_at = clock.monotonic()
         self._stopped = False
 
     @property
     def version(self) -> int:
         """Accepted configuration version; 0 when there is none yet."""
-        return self._version
+        return self._distribution.version
+
+    @property
+    def peer_port(self) -> int:
+        """Port on which peers connect."""
+        return self._links.port
+
+    @property
+    def status(self) -> ControlStatus:
+        """What control knows and did."""
+        now = clock.monotonic()
+        return ControlStatus(
+            version=self.version,
+            in_force=self._in_force,
+            has_configuration=self._in_force > 0,
+            is_reader=self._membership.is_reader(now),
+            news_age=self._duty.news.age(now),
+            view=self._membership.view(),
+            links=self._links.peers,
+            calls=self._duty.counters,
+            traffic=self._links.counters,
+        )
 
     def start(self) -> None:
-        """Begin to watch."""
-        self._watch()
+        """Listen for peers and begin to fetch the configuration."""
+        self._links.listen(self._options.peer_port, self._options.peer_host)
+        self._address = f"{self._options.peer_host}:{self._links.port}"
+        me = membership.Member(
+            self._options.instance, self._options.zone, self._address
+        )
+        self._membership = membership.Membership(me)
+        self._tick()
 
-    def stop(self) -> None:
-        """Ignore whatever arrives from now on."""
+    def stop(self) -> defer.Deferred[typing.Any]:
+        """Tell the peers and ignore whatever arrives from now on."""
         self._stopped = True
+        self._duty.stop()
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        return self._links.stop()
+
+    def _tick(self) -> None:
+        self._timer = None
+        now = clock.monotonic()
+        self._membership.on_tick(now)
+        self._perform(self._distribution.on_tick(now))
+        self._maintain(now)
+        is_reader = self._membership.is_reader(now) and self._settle(now)
+        self._duty.tick(now, is_reader, bool(self._links.peers))
+        if now >= self._ping_at:
+            self._ping(now)
+        self._tell(now)
+        if not self._stopped:
+            delay = TICK_SECONDS * self._rng.uniform(0.8, 1.2)
+            self._timer = self._reactor.callLater(delay, self._tick)
+
+    def _settle(self, now: float) -> bool:
+        # A new instance knows only itself and would take itself for the reader of
+        # its zone. It first gives its seeds time to answer.
+        if self._links.peers or self._duty.news.must_check(now):
+            self._settled = True
+        return self._settled
 
-    def _watch(self) -> None:
-        if self._stopped:
+    def _maintain(self, now: float) -> None:
+        wanted = {each.instance: each.address for each in self._membership.wanted(now)}
+        few = len(self._links.peers) < min(MIN_LINKS, len(self._options.seeds))
+        self._links.maintain(now, wanted, self._options.seeds if few else ())
+
+    def _ping(self, now: float) -> None:
+        self._ping_at = now + PING_SECONDS * self._rng.uniform(0.8, 1.0)
+        age = self._duty.news.age(now)
+        age_ms = -1 if age is None else round(age * 1000)
+        frame = frames.Ping(self.version, age_ms)
+        for name in self._links.peers:
+            self._links.send(name, frame)
+
+    def _tell(self, now: float) -> None:
+        view = self._membership.view()
+        if view != self._view:
+            self._view = view
+            self._on_members(view)
+        report = self._membership.report(now)
+        if report == self._reported or now < self._report_at:
             return
-        watching = self._platform.watch(
-            parts.HEAD_KEY, self._object_version, WATCH_SECONDS
+        self._reported = report
+        self._report_at = now + REPORT_SECONDS
+        for name in self._links.peers:
+            self._links.send(name, report)
+
+    # Events of the links.
+
+    def hello(self) -> frames.Hello:
+        """Return the first frame of this instance."""
+        return frames.Hello(
+            instance=self._options.instance,
+            incarnation=self._incarnation,
+            zone=self._options.zone,
+            address=self._address,
+            version=self.version,
         )
-        watching.addCallback(self._on_watch)
 
-    def _on_watch(self, watched: platform_api.WatchResult) -> None:
-        if isinstance(watched, result.Failure):
-            self._retry()
-            return
-        stored = watched.unwrap()
-        head = None if stored is None else parts.parse_head(stored.value)
-        if stored is None or head is None:
-            self._watch()
-            return
-        fetching = self._fetch(head)
-        fetching.addCallback(self._on_contents, head, stored.version)
+    def on_peer_up(self, hello: frames.Hello) -> None:
+        """Note a link to a peer."""
+        now = clock.monotonic()
+        peer = membership.Member(
+            hello.instance, hello.zone, hello.address, hello.leaving
+        )
+        self._membership.on_link_up(now, peer)
+        self._links.send(hello.instance, self._membership.report(now))
+        self._perform(self._distribution.on_link_up(now, hello.instance, hello.version))
 
-    def _retry(self) -> None:
-        if not self._stopped:
-            self._reactor.callLater(RETRY_SECONDS, self._watch)
-
-    @defer.inlineCallbacks
-    def _fetch(
-        self, head: parts.Head
-    ) -> typing.Generator[
-        defer.Deferred[typing.Any],
-        typing.Any,
-        result.Result[dict[str, bytes], errors.PlatformError],
-    ]:
-        contents = {}
-        known = {parts.chunk_hash(each): each for each in self._contents.values()}
-        for name, address in head.parts.items():
-            if address in known:
-                contents[name] = known[address]
-                continue
-            read = yield self._platform.read(parts.CHUNK_PREFIX + address)
-            if isinstance(read, result.Failure):
-                return read
-            contents[name] = parts.encode(read.unwrap().value)
-        return result.Success(contents)
-
-    def _on_contents(
-        self,
-        fetched: result.Result[dict[str, bytes], errors.PlatformError],
-        head: parts.Head,
-        object_version: int,
+    def on_peer_down(self, name: str, planned: bool) -> None:
+        """Note that no link to a peer remains."""
+        now = clock.monotonic()
+        probes = self._membership.on_link_down(now, name, planned)
+        self._send_probes(probes)
+        self._perform(self._distribution.on_link_down(now, name))
+        self._tell(now)
+
+    def on_dial_failed(self, address: str) -> None:
+        """Suspect the members of an address that cannot be reached."""
+        now = clock.monotonic()
+        for each in self._membership.view().members:
+            if each.member.address == address:
+                name = each.member.instance
+                self._send_probes(self._membership.on_unreachable(now, name))
+
+    def on_peer_frame(self, name: str, frame: frames.Frame) -> None:
+        """Handle a frame of a peer."""
+        now = clock.monotonic()
+        states = self._distribution
+        if isinstance(frame, frames.Ping):
+            self._on_ping(now, name, frame)
+        elif isinstance(frame, frames.Have):
+            self._perform(states.on_have(now, name, frame.version))
+        elif isinstance(frame, frames.Want):
+            self._perform(states.on_want(now, name, frame))
+        elif isinstance(frame, frames.Update):
+            self._perform(states.on_update(now, name, frame))
+        elif isinstance(frame, frames.Need):
+            self._perform(states.on_need(now, name, frame))
+        elif isinstance(frame, frames.Chunks):
+            self._perform(states.on_chunks(now, name, frame))
+        else:
+            self._on_member_frame(now, name, frame)
+
+    def _on_member_frame(self, now: float, name: str, frame: frames.Frame) -> None:
+        if isinstance(frame, frames.Members):
+            self._membership.on_report(now, name, frame)
+            self._tell(now)
+        elif isinstance(frame, frames.Probe):
+            self._on_probe(now, name, frame)
+        elif isinstance(frame, frames.Probed):
+            self._membership.on_probed(now, name, frame)
+            self._tell(now)
+        elif isinstance(frame, frames.Bye) and frame.leaving:
+            self._membership.on_leaving(now, name)
+            self._tell(now)
+
+    def _on_ping(self, now: float, name: str, ping: frames.Ping) -> None:
+        # Only a peer that is at least as new can confirm this instance's version.
+        if ping.age_ms >= 0 and ping.version >= self.version:
+            self._duty.news.on_peer(now, ping.age_ms / 1000)
+        self._perform(self._distribution.on_have(now, name, ping.version))
+
+    def _on_probe(self, now: float, name: str, probe: frames.Probe) -> None:
+        def answer(reachable: bool) -> None:
+            self._links.send(name, frames.Probed(probe.instance, reachable))
+
+        self._links.probe(now, probe.instance, probe.address, answer)
+
+    def _send_probes(
+        self, probes: collections.abc.Iterable[membership.SendProbe]
     ) -> None:
-        if self._stopped:
+        for each in probes:
+            self._links.send(each.peer, each.probe)
+
+    # Replies of the platform.
+
+    def on_head(self, head: parts.Head) -> None:
+        """Handle the head object."""
+        now = clock.monotonic()
+        young = now < self._started_at + FIRST_LINKS_SECONDS
+        patient = young or not self._membership.is_reader(now)
+        self._perform(self._distribution.on_platform_head(now, head, patient))
+
+    def on_list(self, listed: tuple[platform_api.ListedInstance, ...]) -> None:
+        """Handle the list of instances."""
+        now = clock.monotonic()
+        self._membership.on_list(now, listed)
+        self._tell(now)
+
+    def on_chunk(self, address: bytes, content: bytes | None) -> None:
+        """Handle a chunk, or None when it could not be read."""
+        now = clock.monotonic()
+        self._perform(self._distribution.on_platform_chunk(now, address, content))
+
+    def _perform(self, actions: distribution.Actions) -> None:
+        for action in actions:
+            if isinstance(action, distribution.Send):
+                self._links.send(action.peer, action.frame)
+            elif isinstance(action, distribution.ReadChunk):
+                self._duty.read_chunk(action.hash)
+            elif isinstance(action, distribution.CloseLink):
+                self._links.close(action.peer)
+            else:
+                self._put_in_force(action)
+
+    def _put_in_force(self, accepted: distribution.Accept) -> None:
+        try:
+            built = catalog.build(
+                accepted.version, self._options.site, accepted.contents
+            )
+        except msgspec.DecodeError as error:
+            _log.error("version %d is not JSON: %s", accepted.version, error)
             return
-        contents = fetched.value_or(None)
-        if contents is None:
-            self._retry()
+        if isinstance(built, result.Failure):
+            _log.error("version %d is invalid: %s", accepted.version, built.failure())
             return
-        self._object_version = object_version
-        if head.version > self._version:
-            built = catalog.build(head.version, self._site, contents)
-            current = built.value_or(None)
-            if current is not None:
-                self._contents = contents
-                self._version = head.version
-                self._on_catalog(current)
-        self._watch()
+        self._in_force = accepted.version
+        self._on_catalog(built.unwrap())
--- a/jackdawpass/process/entry.py
+++ b/jackdawpass/process/entry.py
@@ -36,7 +36,7 @@
         self._wire = dialect.JsonDialect()
         self._platform = platform_api.HttpPlatform(reactor, options.platform_url)
         self._control = control.Control(
-            reactor, self._platform, options.site, self._on_catalog
+            reactor, self._platform, options, self._on_catalog, decisions.on_members
         )
         self._dispatcher = dispatcher.Dispatcher(reactor, self._wire, decisions)
         self._catalog: catalog.Catalog | None = None
@@ -48,11 +48,28 @@
         """True when the instance can serve new requests."""
         return self._catalog is not None and not self._draining
 
+    @property
+    def unready_reason(self) -> str | None:
+        """Why the instance is not ready; None when it is."""
+        if self._draining:
+            return "draining"
+        return "no_configuration" if self._catalog is None else None
+
+    @property
+    def control_status(self) -> control.ControlStatus:
+        """Version, members, links and counters of control."""
+        return self._control.status
+
     @property
     def port(self) -> int:
         """Port on which callers are served."""
         return int(self._port.getHost().port)
 
+    @property
+    def peer_port(self) -> int:
+        """Port on which other entry instances are served."""
+        return self._control.peer_port
+
     def start(self) -> None:
         """Listen for callers and begin to fetch the configuration."""
         site = http_api.make_site(self, self._options.max_body_bytes)
@@ -65,7 +82,7 @@
     def stop(self) -> typing.Generator[defer.Deferred[typing.Any], typing.Any, None]:
         """Stop listening and close all connections."""
         self._draining = True
-        self._control.stop()
+        yield self._control.stop()
         yield self._port.stopListening()
         self._dispatcher.close()
         yield self._platform.close()
--- a/jackdawpass/process/http_api.py
+++ b/jackdawpass/process/http_api.py
@@ -8,6 +8,7 @@
 from twisted.web import resource, server
 
 from jackdawpass import clock
+from jackdawpass.process import control
 from jackdawpass.request import model, parsing, problems
 
 NOT_DONE = server.NOT_DONE_YET
@@ -30,6 +31,14 @@
     def ready(self) -> bool:
         """True when the instance can serve new requests."""
 
+    @property
+    def unready_reason(self) -> str | None:
+        """Why the instance is not ready; None when it is."""
+
+    @property
+    def control_status(self) -> control.ControlStatus:
+        """Version, members, links and counters of control."""
+
     def run(
         self,
         request_id: str,
@@ -48,6 +57,7 @@
     root.putChild(b"readyz", _Ready(queries))
     version = resource.Resource()
     root.putChild(b"v1", version)
+    version.putChild(b"control", _Control(queries))
     version.putChild(b"services", _Services(queries, max_body_bytes))
     return server.Site(root)
 
@@ -67,8 +77,21 @@
         self._queries = queries
 
     def render_GET(self, request: server.Request) -> bytes:
-        ready = self._queries.ready
-        return _render(request, 200 if ready else 503, {"ready": ready})
+        reason = self._queries.unready_reason
+        document = {"ready": reason is None, "reason": reason}
+        return _render(request, 200 if reason is None else 503, document)
+
+
+class _Control(resource.Resource):
+    isLeaf = True
+
+    def __init__(self, queries: QueryService) -> None:
+        super().__init__()
+        self._queries = queries
+
+    def render_GET(self, request: server.Request) -> bytes:
+        status = self._queries.control_status
+        return _render(request, 200, msgspec.to_builtins(status))
 
 
 class _Services(resource.Resource):
--- /dev/null
+++ b/jackdawpass/process/platform_duty.py
@@ -0,0 +1,235 @@
+"""Performs the platform calls of control within their schedule."""
+
+import collections
+import dataclasses
+import random
+import typing
+
+from returns import result
+from twisted.internet import defer
+
+from jackdawpass import clock, errors
+from jackdawpass.connection import platform_api
+from jackdawpass.process import schedule
+from jackdawpass.version import parts
+
+WATCH_SECONDS = 4.0
+LIST_SECONDS = 1.0
+MAX_PARALLEL_CHUNK_READS = 8
+
+
+class DutyOwner(typing.Protocol):
+    """Receives what the platform says."""
+
+    def on_head(self, head: parts.Head) -> None:
+        """Handle the head object."""
+
+    def on_list(self, listed: tuple[platform_api.ListedInstance, ...]) -> None:
+        """Handle the list of instances."""
+
+    def on_chunk(self, address: bytes, content: bytes | None) -> None:
+        """Handle a chunk, or None when it could not be read."""
+
+
+@dataclasses.dataclass(slots=True)
+class CallCounters:
+    """Platform calls of control since the start."""
+
+    watch: int = 0
+    head: int = 0
+    chunk: int = 0
+    list: int = 0
+    failed: int = 0
+
+
+class PlatformDuty:
+    """Watches, lists and reads chunks for one instance.
+
+    Parameters
+    ----------
+    platform : PlatformApi
+        The platform's object API.
+    owner : DutyOwner
+        Receives replies.
+    rng : Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        platform: platform_api.PlatformApi,
+        owner: DutyOwner,
+        rng: random.Random,
+    ) -> None:
+        now = clock.monotonic()
+        self._platform = platform
+        self._owner = owner
+        self._rng = rng
+        self._counters = CallCounters()
+        self._budget = schedule.CallBudget(now)
+        self._news = schedule.News(now, rng)
+        self._head_backoff = schedule.Backoff(rng)
+        self._list_backoff = schedule.Backoff(rng)
+        self._chunk_backoff = schedule.Backoff(rng)
+        self._object_version = 0
+        self._head_pending = False
+        self._list_pending = False
+        self._list_at = 0.0
+        self._queued: collections.deque[bytes] = collections.deque()
+        self._reading = 0
+        self._is_reader = False
+        self._stopped = False
+
+    @property
+    def counters(self) -> CallCounters:
+        """Calls since the start."""
+        return self._counters
+
+    @property
+    def news(self) -> schedule.News:
+        """How current this instance is."""
+        return self._news
+
+    def stop(self) -> None:
+        """Make no further calls and ignore replies."""
+        self._stopped = True
+        self._queued.clear()
+
+    def tick(self, now: float, is_reader: bool, linked: bool) -> None:
+        """Make the calls that are due."""
+        self._is_reader = is_reader
+        if self._stopped:
+            return
+        if is_reader:
+            self._watch(now)
+            self._list(now)
+        elif self._news.must_check(now):
+            self._news.on_check(now)
+            self._read_head(now)
+            if not linked:
+                self._list(now)
+
+    def read_chunk(self, address: bytes) -> None:
+        """Read a chunk when its turn comes."""
+        self._queued.append(address)
+        self._read_chunks()
+
+    @property
+    def _longest_backoff(self) -> float:
+        if self._is_reader:
+            return schedule.READER_BACKOFF_MAX_SECONDS
+        return schedule.OTHER_BACKOFF_MAX_SECONDS
+
+    def _watch(self, now: float) -> None:
+        if not self._may_ask_head(now):
+            return
+        self._head_pending = True
+        self._counters.watch += 1
+        timeout = WATCH_SECONDS * self._rng.uniform(0.7, 1.0)
+        known = self._object_version
+        watching = self._platform.watch(parts.HEAD_KEY, known, timeout)
+        watching.addCallback(self._on_watched, known)
+
+    def _read_head(self, now: float) -> None:
+        if not self._may_ask_head(now):
+            return
+        self._head_pending = True
+        self._counters.head += 1
+        self._platform.read(parts.HEAD_KEY).addCallback(self._on_read)
+
+    def _may_ask_head(self, now: float) -> bool:
+        if self._head_pending or not self._head_backoff.ready(now):
+            return False
+        return self._budget.take(now)
+
+    def _on_watched(self, watched: platform_api.WatchResult, known: int) -> None:
+        now = clock.monotonic()
+        if isinstance(watched, result.Success):
+            stored = watched.unwrap()
+            # A watch that returns nothing newer at once must not spin.
+            stale = stored is not None and stored.version <= known
+            self._on_head_reply(now, stored, stale)
+        else:
+            self._on_head_failure(now, watched.failure())
+        if self._is_reader and not self._stopped:
+            self._watch(now)
+
+    def _on_read(self, read: platform_api.ReadResult) -> None:
+        now = clock.monotonic()
+        if isinstance(read, result.Success):
+            self._on_head_reply(now, read.unwrap(), False)
+        else:
+            self._on_head_failure(now, read.failure())
+
+    def _on_head_reply(
+        self, now: float, stored: platform_api.StoredObject | None, stale: bool
+    ) -> None:
+        self._head_pending = False
+        if stale:
+            self._head_backoff.on_failure(now, self._longest_backoff)
+        else:
+            self._head_backoff.on_success()
+        self._news.on_platform(now)
+        head = None if stored is None else parts.parse_head(stored.value)
+        if stored is None or head is None or self._stopped:
+            return
+        self._object_version = max(self._object_version, stored.version)
+        self._owner.on_head(head)
+
+    def _on_head_failure(self, now: float, error: errors.PlatformError) -> None:
+        self._head_pending = False
+        self._counters.failed += 1
+        self._head_backoff.on_failure(now, self._longest_backoff)
+        if isinstance(error, errors.ObjectMissing):
+            self._news.on_platform(now)
+
+    def _list(self, now: float) -> None:
+        if self._list_pending or now < self._list_at:
+            return
+        if not self._list_backoff.ready(now) or not self._budget.take(now):
+            return
+        self._list_pending = True
+        self._list_at = now + LIST_SECONDS * self._rng.uniform(0.8, 1.2)
+        self._counters.list += 1
+        self._platform.instances().addCallback(self._on_listed)
+
+    def _on_listed(self, listed: platform_api.ListResult) -> None:
+        now = clock.monotonic()
+        self._list_pending = False
+        if isinstance(listed, result.Failure):
+            self._counters.failed += 1
+            self._list_backoff.on_failure(now, self._longest_backoff)
+            return
+        self._list_backoff.on_success()
+        if not self._stopped:
+            self._owner.on_list(listed.unwrap())
+
+    def _read_chunks(self) -> None:
+        while self._queued and self._reading < MAX_PARALLEL_CHUNK_READS:
+            address = self._queued.popleft()
+            self._reading += 1
+            reading = self._chunk(clock.monotonic(), address)
+            reading.addCallback(self._on_chunk, address)
+
+    def _chunk(
+        self, now: float, address: bytes
+    ) -> defer.Deferred[platform_api.ReadResult]:
+        if not self._chunk_backoff.ready(now) or not self._budget.take(now):
+            refused = errors.PlatformUnavailable("call budget")
+            return defer.succeed(result.Failure(refused))
+        self._counters.chunk += 1
+        return self._platform.read(parts.CHUNK_PREFIX + address.hex())
+
+    def _on_chunk(self, read: platform_api.ReadResult, address: bytes) -> None:
+        now = clock.monotonic()
+        self._reading -= 1
+        content = None
+        if isinstance(read, result.Success):
+            self._chunk_backoff.on_success()
+            content = parts.encode(read.unwrap().value)
+        elif self._chunk_backoff.ready(now):
+            self._counters.failed += 1
+            self._chunk_backoff.on_failure(now, self._longest_backoff)
+        if not self._stopped:
+            self._owner.on_chunk(address, content)
+            self._read_chunks()
--- a/jackdawpass/process/policy.py
+++ b/jackdawpass/process/policy.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from jackdawpass.process import budget, hedging, routing
+from jackdawpass.process import budget, hedging, membership, routing
 from jackdawpass.request import machine, model
 from jackdawpass.version import catalog
 
@@ -32,6 +32,9 @@
     def apply(self, now: float, current: catalog.Catalog) -> None:
         """Take over a new catalog and keep what was learned of kept targets."""
 
+    def on_members(self, view: membership.MembersView) -> None:
+        """Take over the number of entry instances and the leaving targets."""
+
     def router(
         self, service: catalog.Service, shard_map: catalog.ShardMap
     ) -> machine.Router:
@@ -90,6 +93,9 @@
         """Take over a new catalog."""
         self._instances_max = current.instances_max
 
+    def on_members(self, view: membership.MembersView) -> None:
+        """Ignore the members."""
+
     def router(
         self, service: catalog.Service, shard_map: catalog.ShardMap
     ) -> machine.Router:
--- a/jackdawpass/process/settings.py
+++ b/jackdawpass/process/settings.py
@@ -28,6 +28,10 @@
         Base URL of the platform's object API.
     max_body_bytes : int
         Largest request body accepted from a caller.
+    peer_host, peer_port : str, int
+        Address for other entry instances; port 0 takes a free one.
+    seeds : list of str
+        ``host:port`` of entry instances to ask first.
     """
 
     instance: str
@@ -37,6 +41,9 @@
     port: int = 0
     platform_url: str = "http://127.0.0.1:8500"
     max_body_bytes: int = 1024 * 1024
+    peer_host: str = "127.0.0.1"
+    peer_port: int = 0
+    seeds: list[str] = dataclasses.field(default_factory=list)
 
 
 Parsed = result.Result[EntrySettings, errors.InvalidConfiguration]
