Test control on real processes with cut and delayed links

Six instances in three zones run as processes behind a relay that cuts and delays links by zone; the tests cover a replacement with empty state during an outage, a stopped reader, a cut zone, the platform's return and the members.

--- /dev/null
+++ b/jackdawpass/bench/cluster.py
@@ -0,0 +1,275 @@
+"""Entry instances as processes on loopback, for measurements and tests."""
+
+import collections.abc
+import dataclasses
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import typing
+import urllib.error
+import urllib.request
+
+from jackdawpass.bench import relay
+from jackdawpass.version import parts
+
+ZONES = ("a", "b", "c")
+CALL_TIMEOUT_SECONDS = 10.0
+POLL_SECONDS = 0.05
+
+_CALLER_HOST = "127.0.0.1"
+# Instances of a zone dial from its own loopback address, which tells the relay the
+# zone of a link.
+_ZONE_HOSTS = {"a": "127.1.0.1", "b": "127.2.0.1", "c": "127.3.0.1"}
+
+
+def call(
+    method: str,
+    url: str,
+    document: object = None,
+    headers: collections.abc.Mapping[str, str] | None = None,
+) -> tuple[int, typing.Any]:
+    """Make one HTTP call; return its status and its decoded JSON reply."""
+    body = None if document is None else json.dumps(document).encode()
+    request = urllib.request.Request(
+        url, data=body, method=method, headers=dict(headers or {})
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=CALL_TIMEOUT_SECONDS) as reply:
+            return reply.status, json.loads(reply.read() or b"null")
+    except urllib.error.HTTPError as error:
+        return error.code, json.loads(error.read() or b"null")
+
+
+def wait_for(
+    condition: collections.abc.Callable[[], bool], what: str, timeout: float
+) -> None:
+    """Poll until a condition holds."""
+    deadline = time.monotonic() + timeout
+    while not condition():
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"gave up waiting until {what}")
+        time.sleep(POLL_SECONDS)
+
+
+@dataclasses.dataclass(slots=True)
+class Instance:
+    """One running entry instance."""
+
+    name: str
+    zone: str
+    process: subprocess.Popen[str]
+    url: str = ""
+    address: str = ""
+    stopped: bool = False
+
+    @property
+    def status(self) -> dict[str, typing.Any]:
+        """Reply of ``/v1/control``."""
+        document: dict[str, typing.Any] = call("GET", f"{self.url}/v1/control")[1]
+        return document
+
+
+class Cluster:
+    """Instances in three zones, behind a relay.
+
+    Parameters
+    ----------
+    platform_url : str
+        Where the platform stand-in listens.
+    directory : Path
+        Takes the settings files.
+    """
+
+    def __init__(self, platform_url: str, directory: pathlib.Path) -> None:
+        self._platform_url = platform_url
+        self._directory = directory
+        self._relay = relay.Relay()
+        self._platform_ports: dict[str, int] = {}
+        self._instances: dict[str, Instance] = {}
+        self._version = 0
+
+    @property
+    def instances(self) -> dict[str, Instance]:
+        """Running instances by name, in the order of their start."""
+        return self._instances
+
+    @property
+    def version(self) -> int:
+        """Version committed last."""
+        return self._version
+
+    def start(self, count: int) -> None:
+        """Start instances `e0` and so on, and list them in the platform."""
+        names = [f"e{number}" for number in range(count)]
+        for number, name in enumerate(names):
+            self._spawn(name, ZONES[number % len(ZONES)], ())
+        for name in names:
+            self._read_ports(name)
+        self.publish_list()
+
+    def replace(self, name: str, seeds: collections.abc.Iterable[str]) -> Instance:
+        """Start an instance of the same name with empty state."""
+        zone = self._instances[name].zone
+        self._spawn(name, zone, tuple(seeds))
+        self._read_ports(name)
+        return self._instances[name]
+
+    def publish_list(
+        self, targets: collections.abc.Iterable[dict[str, str]] = ()
+    ) -> None:
+        """Set the platform's list of instances."""
+        listed = [
+            {
+                "id": each.name,
+                "role": "entry",
+                "zone": each.zone,
+                "address": each.address,
+                "state": "live",
+            }
+            for each in self._instances.values()
+        ]
+        document = {"instances": [*listed, *targets]}
+        call("POST", f"{self._platform_url}/control/instances", document)
+
+    def faults(self, **faults: typing.Any) -> None:
+        """Induce faults in the platform; faults not named end."""
+        call("POST", f"{self._platform_url}/control/faults", faults)
+
+    def cut_zone(self, zone: str) -> None:
+        """Cut a zone from the other zones and from the platform."""
+        others = [each for each in ZONES if each != zone]
+        cut = [(zone, other) for other in others]
+        self._relay.set_cut([*cut, (_CALLER_HOST, _platform_tag(zone))])
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self._relay.set_cut(())
+
+    def set_delay(self, seconds: float) -> None:
+        """Delay the links and calls of all instances."""
+        self._relay.set_delay(seconds)
+
+    def commit(self, changes: collections.abc.Mapping[str, bytes]) -> None:
+        """Commit changed parts straight into the platform stand-in."""
+        url = f"{self._platform_url}/v1/objects"
+        status, stored = call("GET", f"{url}/head")
+        named = dict(stored["value"]["parts"]) if status == 200 else {}
+        for name, content in changes.items():
+            named[name] = parts.chunk_hash(content)
+            chunk = f"{url}/{parts.CHUNK_PREFIX}{named[name]}"
+            call("PUT", chunk, json.loads(content), {"If-None-Match": "*"})
+        self._version += 1
+        head = parts.Head(self._version, f"cluster-{self._version}", "", named)
+        headers = {"If-None-Match": "*"}
+        if status == 200:
+            headers = {"If-Match": str(stored["version"])}
+        document = parts.head_document(head)
+        written, _ = call("PUT", f"{url}/head", document, headers)
+        if written not in (200, 201):
+            raise RuntimeError(f"commit of version {self._version}: status {written}")
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to an instance."""
+        instance = self._instances[name]
+        instance.process.send_signal(number)
+        instance.stopped = number == signal.SIGSTOP
+
+    def kill(self, name: str) -> None:
+        """Kill an instance; it stays in the platform's list."""
+        process = self._instances[name].process
+        process.kill()
+        process.wait()
+
+    def running(self) -> list[Instance]:
+        """Return the instances that are neither killed nor stopped."""
+        return [
+            each
+            for each in self._instances.values()
+            if each.process.poll() is None and not each.stopped
+        ]
+
+    def wait_in_force(
+        self,
+        timeout: float,
+        instances: collections.abc.Iterable[Instance] | None = None,
+    ) -> None:
+        """Wait until the version committed last is in force."""
+        waiting = list(self.running() if instances is None else instances)
+
+        def everywhere() -> bool:
+            while waiting and waiting[0].status["in_force"] >= self._version:
+                waiting.pop(0)
+            return not waiting
+
+        wait_for(everywhere, f"version {self._version} is in force", timeout)
+
+    def readers(self, zone: str) -> list[str]:
+        """Return the instances of a zone that consider themselves readers."""
+        return [
+            each.name
+            for each in self.running()
+            if each.zone == zone and each.status["is_reader"]
+        ]
+
+    def close(self) -> None:
+        """Kill all instances."""
+        for instance in self._instances.values():
+            if instance.process.poll() is None:
+                instance.process.kill()
+            instance.process.wait()
+            if instance.process.stdout is not None:
+                instance.process.stdout.close()
+        self._relay.close()
+
+    def _spawn(self, name: str, zone: str, seeds: tuple[str, ...]) -> None:
+        host = _ZONE_HOSTS[zone]
+        self._relay.tag_source(host, zone)
+        port = _free_port(host)
+        relayed = self._relay.add(host, port, zone)
+        document = {
+            "instance": name,
+            "zone": zone,
+            "site": "site-1",
+            "platform_url": f"http://127.0.0.1:{self._platform_port(zone)}",
+            "peer_host": host,
+            "peer_port": port,
+            "peer_address": f"127.0.0.1:{relayed}",
+            "seeds": list(seeds),
+        }
+        path = self._directory / f"{name}.json"
+        path.write_text(json.dumps(document), encoding="utf-8")
+        command = [sys.executable, "-m", "jackdawpass", "entry", "--settings"]
+        process = subprocess.Popen(
+            [*command, str(path)], stdout=subprocess.PIPE, text=True
+        )
+        address = f"127.0.0.1:{relayed}"
+        self._instances[name] = Instance(name, zone, process, address=address)
+
+    def _read_ports(self, name: str) -> None:
+        instance = self._instances[name]
+        assert instance.process.stdout is not None
+        line = instance.process.stdout.readline()
+        if not line:
+            raise RuntimeError(f"{name} ended with {instance.process.wait()}")
+        instance.url = f"http://127.0.0.1:{json.loads(line)['port']}"
+
+    def _platform_port(self, zone: str) -> int:
+        if zone not in self._platform_ports:
+            port = int(self._platform_url.rpartition(":")[2])
+            tag = _platform_tag(zone)
+            self._platform_ports[zone] = self._relay.add(_CALLER_HOST, port, tag)
+        return self._platform_ports[zone]
+
+
+def _platform_tag(zone: str) -> str:
+    return f"platform for {zone}"
+
+
+def _free_port(host: str) -> int:
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return int(probe.getsockname()[1])
--- a/jackdawpass/connection/frames.py
+++ b/jackdawpass/connection/frames.py
@@ -11,6 +11,7 @@
 MAX_FRAME_BYTES = 2 * 1024 * 1024
 MAX_NESTING = 6
 HASH_BYTES = 32
+MAX_PARTS = 16384
 
 _TYPE_KEY = "t"
 _VERSION_KEY = "v"
@@ -27,7 +28,7 @@
 Names = typing.Annotated[tuple[Name, ...], msgspec.Meta(max_length=16384)]
 PartHashes = typing.Annotated[
     dict[Name, typing.Annotated[tuple[Hash, ...], msgspec.Meta(max_length=1024)]],
-    msgspec.Meta(max_length=16384),
+    msgspec.Meta(max_length=MAX_PARTS),
 ]
 
 
@@ -220,6 +221,16 @@
 _TAGS = {kind: tag for tag, kind in _TYPES.items()}
 
 
+def is_valid(frame: Frame) -> bool:
+    """Return whether peers accept a frame that was made from foreign data."""
+    document = msgspec.to_builtins(frame, builtin_types=(bytes,))
+    try:
+        msgspec.convert(document, type(frame))
+    except Exception:  # Lone surrogates vary in their errors.
+        return False
+    return True
+
+
 def encode(frame: Frame) -> bytes:
     """Return the CBOR encoding of a frame."""
     document = msgspec.to_builtins(frame, builtin_types=(bytes,))
--- a/jackdawpass/connection/platform_api.py
+++ b/jackdawpass/connection/platform_api.py
@@ -15,6 +15,16 @@
 CALL_TIMEOUT_SECONDS = 2.0
 WATCH_GRACE_SECONDS = 2.0
 
+# Deeply nested JSON raises RecursionError, and numbers too large OverflowError.
+_MALFORMED = (
+    msgspec.DecodeError,
+    KeyError,
+    TypeError,
+    ValueError,
+    OverflowError,
+    RecursionError,
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredObject:
@@ -226,7 +236,7 @@
     try:
         document = msgspec.json.decode(reply.body)
         stored = StoredObject(key, int(document["version"]), document["value"])
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+    except _MALFORMED as error:
         return result.Failure(errors.CorruptObject(key, str(error)))
     return result.Success(stored)
 
@@ -251,7 +261,7 @@
         return result.Failure(errors.PlatformUnavailable(reason, uncertain=True))
     try:
         return result.Success(int(msgspec.json.decode(reply.body)["version"]))
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+    except _MALFORMED as error:
         return result.Failure(errors.PlatformUnavailable(str(error), uncertain=True))
 
 
@@ -259,7 +269,7 @@
     try:
         document = msgspec.json.decode(reply.body)
         listed = tuple(_listed(entry) for entry in document["instances"])
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+    except _MALFORMED as error:
         return result.Failure(errors.CorruptObject("instances", str(error)))
     return result.Success(listed)
 
--- a/jackdawpass/process/control.py
+++ b/jackdawpass/process/control.py
@@ -45,12 +45,15 @@
     in_force : int
         Version of the catalog in use; lower when a version declares no valid
         configuration for this site.
+    in_force_age : float or None
+        Seconds since the catalog came into force.
     news_age : float or None
         Seconds since the platform confirmed the version, also through peers.
     """
 
     version: int
     in_force: int
+    in_force_age: float | None
     has_configuration: bool
     is_reader: bool
     news_age: float | None
@@ -91,12 +94,13 @@
         self._on_members = on_members
         self._incarnation = uuid.uuid4().hex
         self._rng = random.Random()
-        self._links = links.Links(reactor, self, self._rng)
+        self._links = links.Links(reactor, self, options.peer_host, self._rng)
         self._duty = platform_duty.PlatformDuty(platform, self, self._rng)
         self._distribution = distribution.Distribution()
         self._membership: membership.Membership
         self._address = ""
         self._in_force = 0
+        self._in_force_at = 0.0
         self._view: membership.MembersView | None = None
         self._reported: frames.Members | None = None
         self._report_at = 0.0
@@ -123,6 +127,7 @@
         return ControlStatus(
             version=self.version,
             in_force=self._in_force,
+            in_force_age=now - self._in_force_at if self._in_force else None,
             has_configuration=self._in_force > 0,
             is_reader=self._membership.is_reader(now),
             news_age=self._duty.news.age(now),
@@ -134,8 +139,9 @@
 
     def start(self) -> None:
         """Listen for peers and begin to fetch the configuration."""
-        self._links.listen(self._options.peer_port, self._options.peer_host)
-        self._address = f"{self._options.peer_host}:{self._links.port}"
+        self._links.listen(self._options.peer_port)
+        own = f"{self._options.peer_host}:{self._links.port}"
+        self._address = self._options.peer_address or own
         me = membership.Member(
             self._options.instance, self._options.zone, self._address
         )
@@ -330,4 +336,5 @@
             _log.error("version %d is invalid: %s", accepted.version, built.failure())
             return
         self._in_force = accepted.version
+        self._in_force_at = clock.monotonic()
         self._on_catalog(built.unwrap())
--- a/jackdawpass/process/distribution.py
+++ b/jackdawpass/process/distribution.py
@@ -335,7 +335,7 @@
 
 
 def from_head(head: parts.Head) -> BinaryHead | None:
-    """Return a head with binary hashes, or None if a hash is malformed."""
+    """Return a head with binary hashes, or None if peers would refuse it."""
     named: dict[str, tuple[bytes, ...]] = {}
     for name, addresses in head.parts.items():
         listed = (addresses,) if isinstance(addresses, str) else tuple(addresses)
@@ -343,9 +343,9 @@
             named[name] = tuple(bytes.fromhex(each) for each in listed)
         except ValueError:
             return None
-        if any(len(each) != frames.HASH_BYTES for each in named[name]):
-            return None
-    return BinaryHead(head.version, head.writer, head.previous, named)
+    binary = BinaryHead(head.version, head.writer, head.previous, named)
+    whole = _difference(BinaryHead(0, "", "", {}), binary, ())
+    return binary if frames.is_valid(whole) else None
 
 
 def _difference(
--- a/jackdawpass/process/links.py
+++ b/jackdawpass/process/links.py
@@ -61,15 +61,18 @@
         The process's reactor.
     owner : LinksOwner
         Receives the events.
+    host : str
+        Address on which to listen and from which to dial.
     rng : Random
         Source of jitter.
     """
 
     def __init__(
-        self, reactor: typing.Any, owner: LinksOwner, rng: random.Random
+        self, reactor: typing.Any, owner: LinksOwner, host: str, rng: random.Random
     ) -> None:
         self._reactor = reactor
         self._owner = owner
+        self._host = host
         self._rng = rng
         self._counters = peer_link.LinkCounters()
         self._peers: dict[str, _Peer] = {}
@@ -95,10 +98,10 @@
         """Port on which peers connect."""
         return int(self._listening.getHost().port)
 
-    def listen(self, port: int, host: str) -> None:
+    def listen(self, port: int) -> None:
         """Listen for peers."""
         factory = peer_link.PeerFactory(self._make)
-        self._listening = self._reactor.listenTCP(port, factory, interface=host)
+        self._listening = self._reactor.listenTCP(port, factory, interface=self._host)
 
     @defer.inlineCallbacks
     def stop(self) -> typing.Generator[defer.Deferred[typing.Any], typing.Any, None]:
@@ -172,7 +175,11 @@
             return
         state.dialling = True
         endpoint = endpoints.TCP4ClientEndpoint(
-            self._reactor, host, int(port), timeout=DIAL_TIMEOUT_SECONDS
+            self._reactor,
+            host,
+            int(port),
+            timeout=DIAL_TIMEOUT_SECONDS,
+            bindAddress=(self._host, 0),
         )
         factory = peer_link.PeerFactory(lambda _: self._make(address))
         connecting = endpoint.connect(factory)
--- a/jackdawpass/process/platform_duty.py
+++ b/jackdawpass/process/platform_duty.py
@@ -6,7 +6,6 @@
 import typing
 
 from returns import result
-from twisted.internet import defer
 
 from jackdawpass import clock, errors
 from jackdawpass.connection import platform_api
@@ -205,21 +204,17 @@
             self._owner.on_list(listed.unwrap())
 
     def _read_chunks(self) -> None:
+        now = clock.monotonic()
         while self._queued and self._reading < MAX_PARALLEL_CHUNK_READS:
             address = self._queued.popleft()
+            if not self._chunk_backoff.ready(now) or not self._budget.take(now):
+                self._owner.on_chunk(address, None)
+                continue
             self._reading += 1
-            reading = self._chunk(clock.monotonic(), address)
+            self._counters.chunk += 1
+            reading = self._platform.read(parts.CHUNK_PREFIX + address.hex())
             reading.addCallback(self._on_chunk, address)
 
-    def _chunk(
-        self, now: float, address: bytes
-    ) -> defer.Deferred[platform_api.ReadResult]:
-        if not self._chunk_backoff.ready(now) or not self._budget.take(now):
-            refused = errors.PlatformUnavailable("call budget")
-            return defer.succeed(result.Failure(refused))
-        self._counters.chunk += 1
-        return self._platform.read(parts.CHUNK_PREFIX + address.hex())
-
     def _on_chunk(self, read: platform_api.ReadResult, address: bytes) -> None:
         now = clock.monotonic()
         self._reading -= 1
@@ -227,8 +222,9 @@
         if isinstance(read, result.Success):
             self._chunk_backoff.on_success()
             content = parts.encode(read.unwrap().value)
-        elif self._chunk_backoff.ready(now):
+        else:
             self._counters.failed += 1
+        if content is None and self._chunk_backoff.ready(now):
             self._chunk_backoff.on_failure(now, self._longest_backoff)
         if not self._stopped:
             self._owner.on_chunk(address, content)
--- a/jackdawpass/process/settings.py
+++ b/jackdawpass/process/settings.py
@@ -30,6 +30,9 @@
         Largest request body accepted from a caller.
     peer_host, peer_port : str, int
         Address for other entry instances; port 0 takes a free one.
+    peer_address : str
+        ``host:port`` at which others reach this instance, if it differs from the
+        address it listens on.
     seeds : list of str
         ``host:port`` of entry instances to ask first.
     """
@@ -43,6 +46,7 @@
     max_body_bytes: int = 1024 * 1024
     peer_host: str = "127.0.0.1"
     peer_port: int = 0
+    peer_address: str = ""
     seeds: list[str] = dataclasses.field(default_factory=list)
 
 
--- a/tests/connection/test_frames.py
+++ b/tests/connection/test_frames.py
@@ -148,6 +148,15 @@
     platform_api._decode_instances(reply)
 
 
+@pytest.mark.parametrize("opening", [b"[", b'{"a":', b'{"instances":['])
+def test_deeply_nested_platform_reply_gives_a_typed_result(opening: bytes) -> None:
+    """Guards against RecursionError, which is no decoding error for msgspec."""
+    reply = platform_api._Reply(200, opening * 100_000)
+    assert isinstance(platform_api._decode_object("head", reply), result.Failure)
+    assert isinstance(platform_api._decode_write("head", reply), result.Failure)
+    assert isinstance(platform_api._decode_instances(reply), result.Failure)
+
+
 def _is_json(value: object) -> bool:
     try:
         msgspec.json.encode(value)
--- /dev/null
+++ b/tests/process/test_control.py
@@ -0,0 +1,122 @@
+"""Control of six instances in three zones as separate processes."""
+
+import pathlib
+import signal
+import time
+
+from jackdawpass.bench import cluster
+from tests import rig
+
+# Generous, since the machine may be busy; the measured times are in the bench.
+TIMEOUT_SECONDS = 60.0
+INSTANCES = 6
+
+
+def _commit(instances: cluster.Cluster) -> None:
+    snapshot = f"s{instances.version + 1}"
+    instances.commit(rig.service_parts("lots", {}, {}, shards=1, snapshot=snapshot))
+
+
+def _start(processes: rig.Rig, tmp_path: pathlib.Path) -> cluster.Cluster:
+    instances = processes.add_cluster(tmp_path, INSTANCES)
+    unready = rig.call("GET", instances.instances["e0"].url + "/readyz")
+    assert unready.status == 503
+    assert unready.document == {"ready": False, "reason": "no_configuration"}
+    _commit(instances)
+    instances.wait_in_force(TIMEOUT_SECONDS)
+    return instances
+
+
+def _live(instance: cluster.Instance) -> int:
+    return int(instance.status["view"]["live"])
+
+
+def test_replacement_gets_the_configuration_from_peers(
+    processes: rig.Rig, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a new instance that needs the platform to become ready."""
+    instances = _start(processes, tmp_path)
+    processes.faults(processes.platform, down=True)
+    instances.kill("e0")
+    seed = instances.instances["e1"].address
+    replacement = instances.replace("e0", [seed])
+    instances.wait_in_force(TIMEOUT_SECONDS, [replacement])
+    assert rig.call("GET", replacement.url + "/readyz").status == 200
+    cluster.wait_for(
+        lambda: _live(replacement) == INSTANCES, "all are known", TIMEOUT_SECONDS
+    )
+
+
+def test_stopped_reader_holds_up_nobody_and_catches_up(
+    processes: rig.Rig, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a paused reader that delays its zone or reverts it."""
+    instances = _start(processes, tmp_path)
+    reader = instances.instances[instances.readers("a")[0]]
+    instances.signal(reader.name, signal.SIGSTOP)
+    _commit(instances)
+    instances.wait_in_force(TIMEOUT_SECONDS)
+    instances.signal(reader.name, signal.SIGCONT)
+    _commit(instances)
+    instances.wait_in_force(TIMEOUT_SECONDS)
+    assert reader.status["in_force"] == 3
+
+
+def test_cut_zone_keeps_serving_and_catches_up(
+    processes: rig.Rig, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a zone that loses its version, or stays behind when healed."""
+    instances = _start(processes, tmp_path)
+    instances.set_delay(0.0014)
+    instances.cut_zone("b")
+    _commit(instances)
+    cut = [each for each in instances.running() if each.zone == "b"]
+    others = [each for each in instances.running() if each.zone != "b"]
+    instances.wait_in_force(TIMEOUT_SECONDS, others)
+    for each in cut:
+        assert each.status["in_force"] == 1
+        assert rig.call("GET", each.url + "/readyz").status == 200
+    instances.heal()
+    instances.wait_in_force(TIMEOUT_SECONDS)
+
+
+def test_platform_outage_costs_bounded_calls(
+    processes: rig.Rig, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a herd of calls while the platform is down, and after."""
+    instances = _start(processes, tmp_path)
+    processes.faults(processes.platform, down=True)
+    before = _calls(instances)
+    start = time.monotonic()
+    time.sleep(8.0)
+    processes.faults(processes.platform)
+    _commit(instances)
+    instances.wait_in_force(TIMEOUT_SECONDS)
+    seconds = time.monotonic() - start
+    # A reader makes at most a list call and a watch a second, after a short backoff.
+    assert _calls(instances) - before <= INSTANCES * (10 + 3 * seconds)
+
+
+def test_listed_members_and_leaving_targets_reach_every_instance(
+    processes: rig.Rig, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a leaving target that only the readers know."""
+    instances = _start(processes, tmp_path)
+    target = {"id": "lots-a", "role": "target", "zone": "a", "address": "127.0.0.1:1"}
+    instances.publish_list([{**target, "state": "leaving"}])
+
+    def known() -> bool:
+        views = [each.status["view"] for each in instances.running()]
+        return all(view["leaving_targets"] == ["lots-a"] for view in views)
+
+    cluster.wait_for(known, "all know the leaving target", TIMEOUT_SECONDS)
+    instances.instances["e1"].process.send_signal(signal.SIGTERM)
+    assert instances.instances["e1"].process.wait(TIMEOUT_SECONDS) == 0
+
+
+def _calls(instances: cluster.Cluster) -> int:
+    totals = 0
+    for each in instances.running():
+        calls = each.status["calls"]
+        totals += sum(calls[kind] for kind in ("watch", "head", "chunk", "list"))
+    return totals
--- a/tests/process/test_distribution.py
+++ b/tests/process/test_distribution.py
@@ -3,6 +3,7 @@
 import random
 
 import hypothesis
+import pytest
 from hypothesis import stateful, strategies
 
 from jackdawpass.connection import frames
@@ -230,6 +231,24 @@
     assert {len(each.contents) for each in updates} == {1}
 
 
+@pytest.mark.parametrize(
+    "head",
+    [
+        parts.Head(2**62, "w", "", {}),
+        parts.Head(-1, "w", "", {}),
+        parts.Head(1, "w", "", {"x": "not hexadecimal"}),
+        parts.Head(1, "w", "", {"x": "00"}),
+        parts.Head(1, "w" * 1000, "", {}),
+        parts.Head(1, "w", "", {"": "00" * 32}),
+    ],
+)
+def test_head_that_peers_refuse_is_ignored(head: parts.Head) -> None:
+    """Guards against a head on which the links of all peers are closed."""
+    instance = distribution.Distribution()
+    assert instance.on_platform_head(0.0, head, patient=False) == ()
+    assert instance.version == 0
+
+
 def test_contents_with_another_hash_are_not_accepted() -> None:
     """Guards against a corrupt chunk that comes into force."""
     world = World()
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import json
+import pathlib
 import signal
 import subprocess
 import sys
@@ -11,6 +12,7 @@
 import urllib.error
 import urllib.request
 
+from jackdawpass.bench import cluster
 from jackdawpass.version import parts
 
 START_TIMEOUT_SECONDS = 20.0
@@ -111,6 +113,7 @@
 
     def __init__(self) -> None:
         self._processes: list[Process] = []
+        self._clusters: list[cluster.Cluster] = []
         self.platform = self.start("stand-in", "platform")
         self.targets: dict[str, Process] = {}
 
@@ -122,9 +125,18 @@
 
     def close(self) -> None:
         """Kill all processes."""
+        for each in self._clusters:
+            each.close()
         for process in reversed(self._processes):
             process.stop()
 
+    def add_cluster(self, directory: pathlib.Path, count: int) -> cluster.Cluster:
+        """Start linked instances in three zones behind a relay."""
+        started = cluster.Cluster(self.platform.url, directory)
+        self._clusters.append(started)
+        started.start(count)
+        return started
+
     def add_target(self, name: str, **options: typing.Any) -> Process:
         """Start a target stand-in."""
         text = json.dumps({"name": name, **options})
