Measure what control costs

control_cost starts instances in three zones as processes and prints times until in force, platform calls, bytes, messages, processor time, memory and slopes, also with a killed reader, a stopped reader, a cut zone and an outage.

--- /dev/null
+++ b/jackdawpass/bench/control_cost.py
@@ -0,0 +1,323 @@
+"""Measures what control costs and how fast changes come into force.
+
+Run as ``python -m jackdawpass.bench.control_cost``; prints one JSON document.
+"""
+
+import argparse
+import collections.abc
+import json
+import os
+import pathlib
+import signal
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+import typing
+
+from jackdawpass.bench import cluster
+from jackdawpass.version import parts
+
+SIZES = (5, 10, 20, 40)
+SERVICES = 50
+TARGETS_PER_SERVICE = 2
+IDLE_SECONDS = 8.0
+CHANGE_SECONDS = 0.5
+SETTLE_SECONDS = 6.0
+OUTAGE_SECONDS = 15.0
+CUT_SECONDS = 8.0
+TIMEOUT_SECONDS = 60.0
+CALL_KINDS = ("watch", "head", "chunk", "list")
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+
+Document = dict[str, typing.Any]
+
+
+class Totals:
+    """Counters of all running instances at one time."""
+
+    def __init__(self, instances: cluster.Cluster) -> None:
+        running = instances.running()
+        self.at = time.monotonic()
+        self.count = len(running)
+        self.cpu_seconds = sum(_cpu_seconds(each) for each in running)
+        statuses = [each.status for each in running]
+        traffic = [each["traffic"] for each in statuses]
+        self.bytes = sum(t["bytes_sent"] + t["bytes_received"] for t in traffic)
+        self.messages = sum(
+            t["messages_sent"] + t["messages_received"] for t in traffic
+        )
+        self.calls = {
+            kind: sum(each["calls"][kind] for each in statuses) for kind in CALL_KINDS
+        }
+        self.memory = [_memory_bytes(each) for each in running]
+
+    @property
+    def all_calls(self) -> int:
+        """Platform calls of all kinds."""
+        return sum(self.calls.values())
+
+
+def service_parts(number: int, revision: int) -> dict[str, bytes]:
+    """Return the parts of one service; `revision` changes only its index."""
+    name = f"service-{number}"
+    targets = {
+        f"{name}-{n}": {"host": "127.0.0.1", "port": 9, "zone": cluster.ZONES[n]}
+        for n in range(TARGETS_PER_SERVICE)
+    }
+    placement = {target: list(range(8)) for target in targets}
+    index = {"snapshot": f"s{revision}", "shards": 8, "placement": placement}
+    changes = parts.split_base({"services": {name: {"targets": targets}}})
+    changes[parts.INDEX_PREFIX + name] = parts.encode(index)
+    return changes
+
+
+def change_index(instances: cluster.Cluster) -> None:
+    """Commit a change of one index."""
+    revision = instances.version + 1
+    name = f"{parts.INDEX_PREFIX}service-{revision % SERVICES}"
+    instances.commit({name: service_parts(revision % SERVICES, revision)[name]})
+
+
+def in_force_seconds(
+    instances: collections.abc.Iterable[cluster.Instance], committed_at: float
+) -> list[float]:
+    """Return the seconds from a commit until each instance had it in force.
+
+    Each instance reports how long ago its catalog came into force, so that polling
+    does not add to the load while the change spreads.
+    """
+    seconds = []
+    for each in instances:
+        status = each.status
+        seconds.append(time.monotonic() - status["in_force_age"] - committed_at)
+    return seconds
+
+
+def measure_change(
+    instances: cluster.Cluster, among: list[cluster.Instance] | None = None
+) -> list[float]:
+    """Commit one change and return its times until in force."""
+    committed_at = time.monotonic()
+    change_index(instances)
+    time.sleep(CHANGE_SECONDS)
+    waited = instances.running() if among is None else among
+    instances.wait_in_force(TIMEOUT_SECONDS, waited)
+    return in_force_seconds(waited, committed_at)
+
+
+def measure_size(instances: cluster.Cluster, changes: int) -> Document:
+    """Measure the idle cost and the cost of changes."""
+    time.sleep(SETTLE_SECONDS)
+    start = Totals(instances)
+    time.sleep(IDLE_SECONDS)
+    idle = Totals(instances)
+    everywhere = []
+    each_instance: list[float] = []
+    for _ in range(changes):
+        seconds = measure_change(instances)
+        everywhere.append(max(seconds))
+        each_instance += seconds
+    end = Totals(instances)
+    idle_calls = (idle.all_calls - start.all_calls) / (idle.at - start.at)
+    changed_calls = end.all_calls - idle.all_calls - idle_calls * (end.at - idle.at)
+    busy_chunks = end.calls["chunk"] - idle.calls["chunk"]
+    return {
+        "instances": start.count,
+        "links_max": max(len(each.status["links"]) for each in instances.running()),
+        "readers": [len(instances.readers(zone)) for zone in cluster.ZONES],
+        "everywhere_p50_ms": _ms(statistics.median(everywhere)),
+        "everywhere_max_ms": _ms(max(everywhere)),
+        "instance_p50_ms": _ms(statistics.median(each_instance)),
+        "idle_calls_per_second": round(idle_calls, 2),
+        "calls_per_change": round(changed_calls / changes, 2),
+        "calls_per_change_and_instance": round(changed_calls / changes / end.count, 3),
+        "chunk_reads_per_change": round(busy_chunks / changes, 2),
+        "idle": _rates(start, idle),
+        "changing": _rates(idle, end),
+        "memory_mb_max": round(max(end.memory) / 2**20, 1),
+    }
+
+
+def _rates(start: Totals, end: Totals) -> Document:
+    seconds = (end.at - start.at) * end.count
+    # Each message is counted at both ends, as each instance pays for both.
+    return {
+        "bytes_per_instance_second": round((end.bytes - start.bytes) / seconds),
+        "messages_per_instance_second": round(
+            (end.messages - start.messages) / seconds, 2
+        ),
+        "cpu_percent_per_instance": round(
+            100 * (end.cpu_seconds - start.cpu_seconds) / seconds, 3
+        ),
+    }
+
+
+def killed_reader(instances: cluster.Cluster) -> Document:
+    """Kill a reader and change the configuration at once, then replace it."""
+    reader = instances.readers("a")[0]
+    instances.kill(reader)
+    seconds = measure_change(instances)
+    instances.faults(down=True)
+    seed = instances.running()[0].address
+    started = time.monotonic()
+    replacement = instances.replace(reader, [seed])
+    instances.wait_in_force(TIMEOUT_SECONDS, [replacement])
+    ready = in_force_seconds([replacement], started)[0]
+    instances.faults()
+    instances.publish_list()
+    return {
+        "everywhere_ms": _ms(max(seconds)),
+        "replacement_ready_platform_down_ms": _ms(ready),
+    }
+
+
+def stopped_reader(instances: cluster.Cluster) -> Document:
+    """Stop a reader, change the configuration, let it continue."""
+    reader = instances.instances[instances.readers("b")[0]]
+    instances.signal(reader.name, signal.SIGSTOP)
+    seconds = measure_change(instances)
+    time.sleep(SETTLE_SECONDS)
+    later = measure_change(instances)
+    instances.signal(reader.name, signal.SIGCONT)
+    resumed_at = time.monotonic()
+    instances.wait_in_force(TIMEOUT_SECONDS, [reader])
+    return {
+        "others_ms": _ms(max(seconds)),
+        "others_after_suspicion_ms": _ms(max(later)),
+        "resumed_catches_up_ms": _ms(in_force_seconds([reader], resumed_at)[0]),
+    }
+
+
+def cut_zone(instances: cluster.Cluster) -> Document:
+    """Cut a zone off, change the configuration, heal."""
+    cut = [each for each in instances.running() if each.zone == "c"]
+    others = [each for each in instances.running() if each.zone != "c"]
+    instances.cut_zone("c")
+    before = instances.version
+    time.sleep(CUT_SECONDS)
+    seconds = measure_change(instances, others)
+    kept = all(each.status["in_force"] == before for each in cut)
+    ready = all(cluster.call("GET", f"{each.url}/readyz")[0] == 200 for each in cut)
+    healed_at = time.monotonic()
+    instances.heal()
+    instances.wait_in_force(TIMEOUT_SECONDS, cut)
+    return {
+        "others_ms": _ms(max(seconds)),
+        "cut_zone_keeps_version": kept,
+        "cut_zone_ready": ready,
+        "caught_up_after_heal_ms": _ms(max(in_force_seconds(cut, healed_at))),
+    }
+
+
+def platform_outage(instances: cluster.Cluster) -> Document:
+    """Take the platform down and let it return with a change."""
+    start = Totals(instances)
+    instances.faults(down=True)
+    time.sleep(OUTAGE_SECONDS)
+    down = Totals(instances)
+    instances.faults()
+    returned_at = time.monotonic()
+    seconds = measure_change(instances)
+    back = Totals(instances)
+    time.sleep(SETTLE_SECONDS)
+    settled = Totals(instances)
+    return {
+        "calls_per_second_while_down": _call_rate(start, down),
+        "calls_in_first_seconds_back": back.all_calls - down.all_calls,
+        "first_seconds_back": round(back.at - returned_at, 2),
+        "calls_per_second_after": _call_rate(back, settled),
+        "everywhere_after_return_ms": _ms(max(seconds)),
+    }
+
+
+def _call_rate(start: Totals, end: Totals) -> float:
+    return round((end.all_calls - start.all_calls) / (end.at - start.at), 2)
+
+
+def slopes(sizes: list[Document]) -> Document:
+    """Return the least-squares growth per added instance."""
+    counts = [each["instances"] for each in sizes]
+    if len(set(counts)) < 2:
+        return {}
+    series = {
+        "calls_per_change": [each["calls_per_change"] for each in sizes],
+        "idle_calls_per_second": [each["idle_calls_per_second"] for each in sizes],
+        "everywhere_p50_ms": [each["everywhere_p50_ms"] for each in sizes],
+    }
+    for name in ("bytes_per_instance_second", "cpu_percent_per_instance"):
+        series[name] = [each["changing"][name] for each in sizes]
+    return {
+        name: round(statistics.linear_regression(counts, values).slope, 4)
+        for name, values in series.items()
+    }
+
+
+def run_size(count: int, changes: int, faults: bool) -> Document:
+    """Start a cluster, measure it and kill it."""
+    command = [sys.executable, "-m", "jackdawpass", "stand-in", "platform"]
+    platform = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    assert platform.stdout is not None
+    url = f"http://127.0.0.1:{json.loads(platform.stdout.readline())['port']}"
+    with tempfile.TemporaryDirectory() as directory:
+        instances = cluster.Cluster(url, pathlib.Path(directory))
+        try:
+            return _run(instances, count, changes, faults)
+        finally:
+            instances.close()
+            platform.kill()
+            platform.wait()
+
+
+def _run(
+    instances: cluster.Cluster, count: int, changes: int, faults: bool
+) -> Document:
+    whole: dict[str, bytes] = {}
+    for number in range(SERVICES):
+        whole.update(service_parts(number, 0))
+    instances.commit(whole)
+    instances.start(count)
+    instances.wait_in_force(TIMEOUT_SECONDS)
+    document = measure_size(instances, changes)
+    if faults:
+        for scenario in (killed_reader, stopped_reader, cut_zone, platform_outage):
+            document[scenario.__name__] = scenario(instances)
+            time.sleep(SETTLE_SECONDS)
+    return document
+
+
+def main(argv: collections.abc.Sequence[str] | None = None) -> int:
+    """Run the measurement and print its JSON document."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sizes", type=int, nargs="+", default=list(SIZES))
+    parser.add_argument("--changes", type=int, default=20)
+    parser.add_argument(
+        "--faults-at", type=int, default=20, help="size that meets the faults"
+    )
+    options = parser.parse_args(argv)
+    sizes = [
+        run_size(size, options.changes, size == options.faults_at)
+        for size in options.sizes
+    ]
+    print(json.dumps({"sizes": sizes, "slope_per_instance": slopes(sizes)}, indent=2))
+    return 0
+
+
+def _cpu_seconds(instance: cluster.Instance) -> float:
+    stat = pathlib.Path(f"/proc/{instance.process.pid}/stat").read_text()
+    fields = stat.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+
+def _memory_bytes(instance: cluster.Instance) -> int:
+    statm = pathlib.Path(f"/proc/{instance.process.pid}/statm").read_text()
+    return int(statm.split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+def _ms(seconds: float) -> float:
+    return round(seconds * 1000, 1)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/jackdawpass/process/control.py
+++ b/jackdawpass/process/control.py
@@ -298,7 +298,8 @@
     def on_head(self, head: parts.Head) -> None:
         """Handle the head object."""
         now = clock.monotonic()
-        young = now < self._started_at + FIRST_LINKS_SECONDS
+        others = self._options.seeds or self._membership.view().live > 1
+        young = bool(others) and now < self._started_at + FIRST_LINKS_SECONDS
         patient = young or not self._membership.is_reader(now)
         self._perform(self._distribution.on_platform_head(now, head, patient))
 
--- a/jackdawpass/process/platform_duty.py
+++ b/jackdawpass/process/platform_duty.py
@@ -100,13 +100,13 @@
         if self._stopped:
             return
         if is_reader:
-            self._watch(now)
             self._list(now)
+            self._watch(now)
         elif self._news.must_check(now):
             self._news.on_check(now)
-            self._read_head(now)
             if not linked:
                 self._list(now)
+            self._read_head(now)
 
     def read_chunk(self, address: bytes) -> None:
         """Read a chunk when its turn comes."""
--- a/jackdawpass/process/schedule.py
+++ b/jackdawpass/process/schedule.py
@@ -6,6 +6,7 @@
 OTHER_BACKOFF_MAX_SECONDS = 30.0
 BACKOFF_FIRST_SECONDS = 0.25
 NO_NEWS_SECONDS = 6.0
+FIRST_CHECK_SECONDS = 0.5
 BUDGET_CALLS_PER_SECOND = 20.0
 BUDGET_BURST_CALLS = 200.0
 
@@ -65,7 +66,7 @@
     def __init__(self, now: float, rng: random.Random) -> None:
         self._rng = rng
         self._confirmed_at: float | None = None
-        self._check_at = now + rng.uniform(0.0, 1.0)
+        self._check_at = now + rng.uniform(0.0, FIRST_CHECK_SECONDS)
 
     def age(self, now: float) -> float | None:
         """Return the seconds since the last confirmation."""
