Guard links against late data and bound the dialled addresses

Data that arrives after a link was closed is ignored, an instance no longer suspects itself when it dials its own address, and addresses of replaced instances are forgotten.

--- a/jackdawpass/connection/peer_link.py
+++ b/jackdawpass/connection/peer_link.py
@@ -101,6 +101,8 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Handle bytes of the peer."""
+        if self._ended:
+            return
         self._heard_at = clock.monotonic()
         self._counters.bytes_received += len(data)
         self._websocket.receive_data(data)
--- a/jackdawpass/process/links.py
+++ b/jackdawpass/process/links.py
@@ -14,6 +14,7 @@
 DIAL_TIMEOUT_SECONDS = 1.0
 DIAL_BACKOFF_MAX_SECONDS = 2.0
 UNWANTED_KEPT_SECONDS = 10.0
+MAX_ADDRESSES = 4096
 
 OnProbed = collections.abc.Callable[[bool], None]
 
@@ -157,10 +158,19 @@
             self._connect(address, state)
 
     def _address(self, address: str) -> _Address:
+        if len(self._addresses) >= MAX_ADDRESSES:
+            self._forget_addresses()
         if address not in self._addresses:
             self._addresses[address] = _Address(schedule.Backoff(self._rng))
         return self._addresses[address]
 
+    def _forget_addresses(self) -> None:
+        self._addresses = {
+            address: state
+            for address, state in self._addresses.items()
+            if state.dialling or state.probes
+        }
+
     def _dial(self, now: float, address: str) -> None:
         if address in self._own_addresses or self._stopped:
             return
--- a/jackdawpass/process/membership.py
+++ b/jackdawpass/process/membership.py
@@ -186,6 +186,8 @@
         known = self._known.get(peer)
         if known is None or peer in self._linked or peer in self._lost_until:
             return ()
+        if peer == self._me.instance:
+            return ()
         return self._suspect(now, Member(peer, known.zone, known.address))
 
     def on_probed(self, now: float, peer: str, probed: frames.Probed) -> None:
