Test that a silent or corrupt peer is replaced as the source

Trial mutations of distribution.py showed that no test noticed a missing digest check or a missing change of the source after a timeout.

--- a/tests/process/test_distribution.py
+++ b/tests/process/test_distribution.py
@@ -266,6 +266,51 @@
     assert isinstance(actions[0].frame, frames.Need)
 
 
+def _offer(instance: distribution.Distribution, peers: list[str]) -> str:
+    """Link peers that have version 1; return the one that is asked."""
+    asked: list[distribution.Action] = []
+    for peer in peers:
+        asked += instance.on_link_up(0.0, peer, 1)
+    (want,) = asked
+    assert isinstance(want, distribution.Send)
+    assert want.frame == frames.Want(0)
+    return want.peer
+
+
+def test_peer_that_does_not_answer_is_replaced() -> None:
+    """Guards against an instance that waits for ever for a paused peer."""
+    instance = distribution.Distribution()
+    asked = _offer(instance, ["e0", "e2"])
+    (again,) = instance.on_tick(distribution.ANSWER_TIMEOUT_SECONDS)
+    assert isinstance(again, distribution.Send)
+    assert again.peer != asked
+    assert again.frame == frames.Want(0)
+
+
+def test_peer_that_sends_other_contents_is_replaced() -> None:
+    """Guards against a peer with corrupt contents that is asked for ever."""
+    world = World()
+    world.commit(0)
+    head = distribution.from_head(world.heads[0])
+    assert head is not None
+    instance = distribution.Distribution()
+    asked = _offer(instance, ["e0", "e2"])
+    whole = frames.Update(1, "w1", "", 0, dict(head.parts), (), head.digest(), ())
+    instance.on_update(0.0, asked, whole)
+    (need,) = instance.on_chunks(0.0, asked, frames.Chunks((b"forged",)))
+    assert isinstance(need, distribution.Send)
+    assert need.peer != asked
+
+
+def test_head_that_does_not_match_its_digest_closes_the_link() -> None:
+    """Guards against a head that was put together from a wrong base."""
+    instance = distribution.Distribution()
+    instance.on_link_up(0.0, "e0", 1)
+    forged = frames.Update(1, "w", "", 0, {}, (), bytes(32), ())
+    assert instance.on_update(0.0, "e0", forged) == (distribution.CloseLink("e0"),)
+    assert instance.version == 0
+
+
 def test_patient_instance_reads_no_chunk_that_a_peer_can_give() -> None:
     """Guards against every new instance reading all chunks from the platform."""
     world = World()
