--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint types unit mutations binary clean
+.PHONY: setup demo test lint types unit mutations control-cost binary clean
 
 setup: $(VENV)/.installed
 
@@ -31,5 +31,8 @@
 mutations: setup
 	$(BIN)/python -m tests.mutations
 
+control-cost: setup
+	$(BIN)/python -m jackdawpass.bench.control_cost
+
 clean:
 	rm -rf $(VENV) build dist
