--- a/jackdawpass/connection/exchange.py
+++ b/jackdawpass/connection/exchange.py
@@ -27,9 +27,6 @@
 class Owner(typing.Protocol):
     """Receives a connection's changes of state."""
 
-    def on_idle(self, exchange: "Exchange") -> None:
-        """Take back a connection whose reply is complete."""
-
     def on_closed(self, exchange: "Exchange") -> None:
         """Forget a connection that is closed."""
 
@@ -48,15 +45,32 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._complete = False
+        self._status = 0
+        self._keep_alive = False
         self._closed = False
+        self._aborted = False
 
     @property
     def busy(self) -> bool:
         """True while a reply is outstanding."""
         return self._on_done is not None
 
+    @property
+    def open(self) -> bool:
+        """True until the connection is closed or about to close."""
+        return not self._closed
+
+    @property
+    def aborted(self) -> bool:
+        """True when this side closed the connection."""
+        return self._aborted
+
     def send(self, request: bytes, on_done: OnDone) -> None:
-        """Write a request; `on_done` is called exactly once unless aborted."""
+        """Write a request; `on_done` is called exactly once unless aborted.
+
+        When `on_done` is called the connection is open only if it can be reused; who
+        sent the request then returns it to the pool or aborts it.
+        """
         if self._on_done is not None or self._closed:
             raise RuntimeError("the connection is not idle; take another one")
         self._on_done = on_done
@@ -93,8 +107,15 @@
         if on_done is not None:
             on_done(Loss.CONNECTION_LOST)
 
+    def on_message_begin(self) -> None:
+        """Note bytes after a complete reply, which answer no request of ours."""
+        if self._complete:
+            self._closed = True
+
     def on_body(self, body: bytes) -> None:
         """Collect body bytes (called by the parser)."""
+        if self._complete:
+            return
         self._body_bytes += len(body)
         if self._body_bytes <= MAX_REPLY_BYTES:
             self._body.append(body)
@@ -102,20 +123,20 @@
     def on_message_complete(self) -> None:
         """Mark the reply as complete (called by the parser)."""
         if self._complete:
-            # A second reply in the same bytes answers no request of ours.
-            self._closed = True
+            return
         self._complete = True
+        self._status = self._parser.get_status_code()
+        # The parser forgets the answer as soon as this callback returns.
+        self._keep_alive = self._parser.should_keep_alive()
 
     def _finish(self) -> None:
         on_done, self._on_done = self._on_done, None
         assert on_done is not None
-        reply = dialect.HttpReply(self._parser.get_status_code(), b"".join(self._body))
+        reply = dialect.HttpReply(self._status, b"".join(self._body))
         too_large = self._body_bytes > MAX_REPLY_BYTES
-        reusable = self._parser.should_keep_alive() and not self._closed
+        reusable = self._keep_alive and not self._closed
         self._reset()
-        if reusable and not too_large:
-            self._owner.on_idle(self)
-        else:
+        if not reusable or too_large:
             self._close()
         on_done(Loss.TOO_LARGE if too_large else reply)
 
@@ -133,5 +154,6 @@
 
     def _close(self) -> None:
         self._closed = True
+        self._aborted = True
         if self.transport is not None:
             self.transport.abortConnection()  # type: ignore[attr-defined]
--- a/jackdawpass/connection/pool.py
+++ b/jackdawpass/connection/pool.py
@@ -8,7 +8,12 @@
 
 from jackdawpass.connection import exchange
 
-CONNECT_TIMEOUT_SECONDS = 1.0
+# A connect takes 6 ms; a target that needs longer than this is taken for lost.
+CONNECT_TIMEOUT_SECONDS = 0.3
+
+# A target may accept a new connection before it notices that an aborted one is closed.
+# The aborted one counts for this long, so that the target never sees more than `limit`.
+ABORT_GRACE_SECONDS = 0.02
 
 OnConnection = collections.abc.Callable[[exchange.Exchange | None], None]
 
@@ -26,6 +31,9 @@
 class Pool:
     """Keeps at most `limit` connections to a target, opening and idle ones included.
 
+    A spare connection is opened when concurrent requests take the last idle one, and
+    one that is lost while in use is replaced, so that few requests wait for a connect.
+
     Parameters
     ----------
     reactor : IReactorTCP
@@ -37,6 +45,7 @@
     """
 
     def __init__(self, reactor: typing.Any, host: str, port: int, limit: int) -> None:
+        self._reactor = reactor
         self._endpoint = endpoints.TCP4ClientEndpoint(
             reactor, host, port, timeout=CONNECT_TIMEOUT_SECONDS
         )
@@ -44,14 +53,15 @@
         self._limit = limit
         self._open: set[exchange.Exchange] = set()
         self._connecting = 0
+        self._aborted = 0
         self._idle: collections.deque[exchange.Exchange] = collections.deque()
         self._waiting: collections.deque[OnConnection] = collections.deque()
         self._closed = False
 
     @property
     def size(self) -> int:
-        """Number of connections, those being opened included."""
-        return len(self._open) + self._connecting
+        """Number of connections, those being opened or just aborted included."""
+        return len(self._open) + self._connecting + self._aborted
 
     @property
     def idle(self) -> int:
@@ -61,64 +71,102 @@
     def set_limit(self, limit: int) -> None:
         """Change the largest number of connections; surplus idle ones close."""
         self._limit = limit
-        while self.size > limit and self._idle:
-            self._discard(self._idle.popleft())
+        surplus = self.size - limit
+        while surplus > 0 and self._idle:
+            self._idle.popleft().abort()
+            surplus -= 1
+        self._open_more()
 
     def acquire(self, on_connection: OnConnection) -> None:
         """Call back with an idle connection, or with None when none can be opened."""
-        while self._idle:
-            connection = self._idle.pop()
-            if connection in self._open:
-                on_connection(connection)
-                return
-        self._waiting.append(on_connection)
-        self._open_more()
+        connection = self.take_idle()
+        if connection is None:
+            self._waiting.append(on_connection)
+            self._open_more()
+            return
+        if not self._idle and len(self._open) > 1:
+            # Two are in use at once, so a third may be needed soon.
+            self._open_spare()
+        on_connection(connection)
 
-    def close(self) -> None:
-        """Close idle connections and refuse new ones; busy ones close when idle."""
-        self._closed = True
+    def take_idle(self) -> exchange.Exchange | None:
+        """Take an idle connection if there is one; open none."""
         while self._idle:
-            self._discard(self._idle.popleft())
+            # The one used last is the least likely to be closed by the target.
+            connection = self._idle.pop()
+            if connection.open:
+                return connection
+        return None
 
-    def on_idle(self, connection: exchange.Exchange) -> None:
-        """Take back a connection whose reply is complete."""
-        if self._closed or self.size > self._limit:
-            self._discard(connection)
+    def release(self, connection: exchange.Exchange) -> None:
+        """Take back a connection whose reply is complete, or that carried nothing."""
+        if not connection.open:
+            return
+        if connection.busy:
+            raise RuntimeError("a busy connection cannot be reused; abort it instead")
+        if self.size > self._limit:
+            connection.abort()
         elif self._waiting:
             self._waiting.popleft()(connection)
+        elif self._closed:
+            connection.abort()
         else:
             self._idle.append(connection)
 
+    def close(self) -> None:
+        """Close connections as they become idle and nobody waits for them."""
+        self._closed = True
+        while self._idle:
+            self._idle.popleft().abort()
+
     def on_closed(self, connection: exchange.Exchange) -> None:
         """Forget a closed connection and open another for whoever waits."""
-        self._open.discard(connection)
-        if connection in self._idle:
+        was_idle = connection in self._idle
+        if was_idle:
             self._idle.remove(connection)
-        self._open_more()
-
-    def _discard(self, connection: exchange.Exchange) -> None:
         self._open.discard(connection)
-        connection.abort()
+        if connection.aborted:
+            self._aborted += 1
+            self._reactor.callLater(ABORT_GRACE_SECONDS, self._on_freed, was_idle)
+        else:
+            self._reopen(was_idle)
+
+    def _on_freed(self, was_idle: bool) -> None:
+        self._aborted -= 1
+        self._reopen(was_idle)
+
+    def _reopen(self, was_idle: bool) -> None:
+        self._open_more()
+        if not was_idle and not self._idle:
+            self._open_spare()
 
     def _open_more(self) -> None:
-        if self._closed:
-            self._refuse_waiting()
-            return
         while self._connecting < len(self._waiting) and self.size < self._limit:
-            self._connecting += 1
-            connecting = self._endpoint.connect(self._factory)
-            connecting.addCallbacks(self._connected, self._connect_failed)
+            self._connect()
+
+    def _open_spare(self) -> None:
+        if not self._closed and not self._connecting and self.size < self._limit:
+            self._connect()
+
+    def _connect(self) -> None:
+        self._connecting += 1
+        connecting = self._endpoint.connect(self._factory)
+        connecting.addCallbacks(self._connected, self._connect_failed)
 
     def _connected(self, connected: typing.Any) -> None:
         self._connecting -= 1
         self._open.add(connected)
-        self.on_idle(connected)
+        self.release(connected)
 
     def _connect_failed(self, reason: object) -> None:
         self._connecting -= 1
-        if self._waiting:
-            self._waiting.popleft()(None)
+        if self._open:
+            self._open_more()
+            return
+        # No connection is left to wait for, and the next connect would fail as well.
+        self._refuse_waiting()
 
     def _refuse_waiting(self) -> None:
-        while self._waiting:
-            self._waiting.popleft()(None)
+        refused, self._waiting = self._waiting, collections.deque()
+        for on_connection in refused:
+            on_connection(None)
--- a/jackdawpass/process/entry.py
+++ b/jackdawpass/process/entry.py
@@ -7,7 +7,14 @@
 
 from jackdawpass import clock
 from jackdawpass.connection import dialect, platform_api
-from jackdawpass.process import control, dispatcher, http_api, policy, settings
+from jackdawpass.process import (
+    control,
+    dispatcher,
+    http_api,
+    membership,
+    policy,
+    settings,
+)
 from jackdawpass.request import (
     claimed_run,
     claims,
@@ -46,10 +53,11 @@
         self._wire = dialect.JsonDialect()
         self._platform = platform_api.HttpPlatform(reactor, options.platform_url)
         self._control = control.Control(
-            reactor, self._platform, options, self._on_catalog, decisions.on_members
+            reactor, self._platform, options, self._on_catalog, self._on_members
         )
         self._dispatcher = dispatcher.Dispatcher(reactor, self._wire, decisions)
         self._catalog: catalog.Catalog | None = None
+        self._members: membership.MembersView | None = None
         self._port: typing.Any = None
         self._draining = False
 
@@ -146,7 +154,10 @@
 
     def _on_catalog(self, current: catalog.Catalog) -> None:
         self._catalog = current
-        self._policy.apply(clock.monotonic(), current)
+        now = clock.monotonic()
+        self._policy.apply(now, current)
+        if self._members is not None:
+            self._policy.on_members(now, self._members)
         self._dispatcher.apply(current)
 
     def _start_run(
@@ -164,6 +175,10 @@
         running.start()
         return running
 
+    def _on_members(self, view: membership.MembersView) -> None:
+        self._members = view
+        self._policy.on_members(clock.monotonic(), view)
+
     def _make_states(
         self, prepared: "_Prepared", idempotent: bool, recorded: bool
     ) -> machine.Machine:
