--- a/jackdawpass/bench/cluster.py
+++ b/jackdawpass/bench/cluster.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 import typing
 import urllib.error
@@ -159,9 +160,10 @@
         status, stored = call("GET", f"{url}/head")
         named = dict(stored["value"]["parts"]) if status == 200 else {}
         for name, content in changes.items():
-            named[name] = parts.chunk_hash(content)
-            chunk = f"{url}/{parts.CHUNK_PREFIX}{named[name]}"
-            call("PUT", chunk, json.loads(content), {"If-None-Match": "*"})
+            named[name] = parts.address(content)
+            for chunk in parts.split_content(content):
+                address = f"{url}/{parts.CHUNK_PREFIX}{parts.chunk_hash(chunk)}"
+                call("PUT", address, json.loads(chunk), {"If-None-Match": "*"})
         self._version += 1
         head = parts.Head(self._version, f"cluster-{self._version}", "", named)
         headers = {"If-None-Match": "*"}
@@ -221,8 +223,6 @@
             if instance.process.poll() is None:
                 instance.process.kill()
             instance.process.wait()
-            if instance.process.stdout is not None:
-                instance.process.stdout.close()
         self._relay.close()
 
     def _spawn(self, name: str, zone: str, seeds: tuple[str, ...]) -> None:
@@ -255,6 +255,9 @@
         line = instance.process.stdout.readline()
         if not line:
             raise RuntimeError(f"{name} ended with {instance.process.wait()}")
+        # The log follows on the same pipe; a full pipe would stop the instance.
+        drain = threading.Thread(target=instance.process.stdout.read, daemon=True)
+        drain.start()
         instance.url = f"http://127.0.0.1:{json.loads(line)['port']}"
 
     def _platform_port(self, zone: str) -> int:
--- a/jackdawpass/process/control.py
+++ b/jackdawpass/process/control.py
@@ -327,9 +327,11 @@
 
     def _put_in_force(self, accepted: distribution.Accept) -> None:
         try:
-            built = catalog.build(
-                accepted.version, self._options.site, accepted.contents
-            )
+            contents = {
+                name: parts.join_content(chunks)
+                for name, chunks in accepted.chunks.items()
+            }
+            built = catalog.build(accepted.version, self._options.site, contents)
         except msgspec.DecodeError as error:
             _log.error("version %d is not JSON: %s", accepted.version, error)
             return
--- a/jackdawpass/process/distribution.py
+++ b/jackdawpass/process/distribution.py
@@ -55,16 +55,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Accept:
-    """A version is complete and in force.
+    """A version is complete and comes into force.
 
     Attributes
     ----------
-    contents : mapping of str to bytes
-        Content of each part by its name.
+    chunks : mapping of str to tuple of bytes
+        Contents of the chunks of each part by its name.
     """
 
     version: int
-    contents: collections.abc.Mapping[str, bytes]
+    chunks: collections.abc.Mapping[str, tuple[bytes, ...]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -316,9 +316,9 @@
         )
         return (accepted, *news, *self._ask(now, None))
 
-    def _by_name(self) -> dict[str, bytes]:
+    def _by_name(self) -> dict[str, tuple[bytes, ...]]:
         return {
-            name: b"".join(self._contents[each] for each in hashes)
+            name: tuple(self._contents[each] for each in hashes)
             for name, hashes in self._head.parts.items()
         }
 
@@ -338,9 +338,8 @@
     """Return a head with binary hashes, or None if peers would refuse it."""
     named: dict[str, tuple[bytes, ...]] = {}
     for name, addresses in head.parts.items():
-        listed = (addresses,) if isinstance(addresses, str) else tuple(addresses)
         try:
-            named[name] = tuple(bytes.fromhex(each) for each in listed)
+            named[name] = tuple(bytes.fromhex(each) for each in addresses)
         except ValueError:
             return None
     binary = BinaryHead(head.version, head.writer, head.previous, named)
--- a/jackdawpass/process/entry.py
+++ b/jackdawpass/process/entry.py
@@ -10,10 +10,14 @@
 from jackdawpass.process import (
     control,
     dispatcher,
+    events,
     http_api,
     membership,
+    operations,
+    operator_api,
     policy,
     settings,
+    tracing,
 )
 from jackdawpass.request import (
     claimed_run,
@@ -58,18 +62,17 @@
         self._dispatcher = dispatcher.Dispatcher(reactor, self._wire, decisions)
         self._catalog: catalog.Catalog | None = None
         self._members: membership.MembersView | None = None
-        self._port: typing.Any = None
-        self._draining = False
+        self._operations = operations.Operations(reactor, options)
 
     @property
     def ready(self) -> bool:
         """True when the instance can serve new requests."""
-        return self._catalog is not None and not self._draining
+        return self._catalog is not None and not self._operations.draining
 
     @property
     def unready_reason(self) -> str | None:
         """Why the instance is not ready; None when it is."""
-        if self._draining:
+        if self._operations.draining:
             return "draining"
         return "no_configuration" if self._catalog is None else None
 
@@ -81,7 +84,12 @@
     @property
     def port(self) -> int:
         """Port on which callers are served."""
-        return int(self._port.getHost().port)
+        return self._operations.port
+
+    @property
+    def ring(self) -> events.Ring:
+        """Events of this process."""
+        return self._operations.events
 
     @property
     def peer_port(self) -> int:
@@ -90,18 +98,29 @@
 
     def start(self) -> None:
         """Listen for callers and begin to fetch the configuration."""
-        site = http_api.make_site(self, self._options.max_body_bytes)
-        self._port = self._reactor.listenTCP(
-            self._options.port, site, interface=self._options.host
-        )
+        extra = operator_api.resources(self)
+        site = http_api.make_site(self, self._options.max_body_bytes, extra)
+        self._operations.listen(site)
         self._control.start()
 
+    def status(self) -> model.JsonObject:
+        """Return the status document."""
+        return self._operations.status(self.ready)
+
+    @property
+    def drained(self) -> defer.Deferred[bool]:
+        """Fires at the end of `drain`; False if requests were still running."""
+        return self._operations.drained
+
+    def drain(self) -> None:
+        """Fail `/readyz`, answer what was accepted, then close the port."""
+        self._operations.drain()
+
     @defer.inlineCallbacks
     def stop(self) -> typing.Generator[defer.Deferred[typing.Any], typing.Any, None]:
         """Stop listening and close all connections."""
-        self._draining = True
         yield self._control.stop()
-        yield self._port.stopListening()
+        yield self._operations.stop()
         self._dispatcher.close()
         yield self._platform.close()
 
@@ -114,15 +133,21 @@
         on_finish: claimed_run.OnFinish,
     ) -> http_api.RunningQuery:
         """Run a query; `on_finish` is called once, possibly before returning."""
+        observer = self._operations.accept(request_id, service)
+
+        def finish(outcome: http_api.Outcome) -> None:
+            observer.finished(outcome)
+            on_finish(outcome)
+
         prepared = self._prepare(clock.monotonic(), request_id, service, query)
         if isinstance(prepared, problems.Problem):
-            on_finish(prepared)
+            finish(prepared)
             return _Refused()
         if query.idempotent or idempotency_key is None:
-            return self._start_run(prepared, query, on_finish)
+            return self._start_run(prepared, query, finish, observer)
         problem = claims.check_key(idempotency_key)
         if problem is not None:
-            on_finish(problem)
+            finish(problem)
             return _Refused()
         claimed = claimed_run.ClaimedRun(
             self._reactor,
@@ -131,8 +156,10 @@
             request_id,
             claims.fingerprint(query),
             prepared.plan.deadline,
-            lambda finish: self._start_run(prepared, query, finish, recorded=True),
-            on_finish,
+            lambda on_run: self._start_run(
+                prepared, query, on_run, observer, recorded=True
+            ),
+            finish,
         )
         claimed.start()
         return claimed
@@ -159,18 +186,20 @@
         if self._members is not None:
             self._policy.on_members(now, self._members)
         self._dispatcher.apply(current)
+        self._operations.version_in_force(current.version)
 
     def _start_run(
         self,
         prepared: "_Prepared",
         query: model.QueryRequest,
         on_finish: runner.OnFinish,
+        observer: tracing.RequestTrace,
         recorded: bool = False,
     ) -> runner.Runner:
         states = self._make_states(prepared, query.idempotent, recorded)
         encoded = self._wire.encode_query(query.query)
         running = runner.Runner(
-            self._reactor, states, self._dispatcher, encoded, on_finish
+            self._reactor, states, self._dispatcher, encoded, on_finish, observer
         )
         running.start()
         return running
--- a/tests/process/test_distribution.py
+++ b/tests/process/test_distribution.py
@@ -37,7 +37,7 @@
         named = dict(self.heads[-1].parts) if self.heads else {}
         content = make_content(version, changed)
         self.chunks[bytes.fromhex(parts.chunk_hash(content))] = content
-        named[f"part-{changed}"] = parts.chunk_hash(content)
+        named[f"part-{changed}"] = parts.address(content)
         if version % 3 == 0:
             named.pop(f"part-{(changed + 1) % 5}", None)
         self.heads.append(parts.Head(version, f"w{version}", "", named))
@@ -63,7 +63,10 @@
         assert accept.version > self.accepted[name], "the version decreased"
         self.accepted[name] = accept.version
         head = self.heads[accept.version - 1]
-        named = {key: parts.chunk_hash(value) for key, value in accept.contents.items()}
+        named = {
+            key: tuple(parts.chunk_hash(chunk) for chunk in chunks)
+            for key, chunks in accept.chunks.items()
+        }
         assert named == head.parts, "the contents are of another version"
 
     def read_head(self, name: str, version: int, patient: bool) -> None:
@@ -236,10 +239,10 @@
     [
         parts.Head(2**62, "w", "", {}),
         parts.Head(-1, "w", "", {}),
-        parts.Head(1, "w", "", {"x": "not hexadecimal"}),
-        parts.Head(1, "w", "", {"x": "00"}),
+        parts.Head(1, "w", "", {"x": ("not hexadecimal",)}),
+        parts.Head(1, "w", "", {"x": ("00",)}),
         parts.Head(1, "w" * 1000, "", {}),
-        parts.Head(1, "w", "", {"": "00" * 32}),
+        parts.Head(1, "w", "", {"": ("00" * 32,)}),
     ],
 )
 def test_head_that_peers_refuse_is_ignored(head: parts.Head) -> None:
@@ -334,7 +337,7 @@
     for part in range(6):
         content = parts.encode(random.Random(part).randbytes(100_000).hex())
         world.chunks[bytes.fromhex(parts.chunk_hash(content))] = content
-        named[f"part-{part}"] = parts.chunk_hash(content)
+        named[f"part-{part}"] = parts.address(content)
     world.heads.append(parts.Head(1, "w1", "", named))
     world.read_head("e0", 0, False)
     world.link("e0", "e1")
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import sys
+import threading
 import time
 import typing
 import urllib.error
@@ -76,7 +77,15 @@
 
 
 class Process:
-    """One process of the rig; `url` is where it listens."""
+    """One process of the rig.
+
+    Attributes
+    ----------
+    url : str
+        Where it listens.
+    lines : list of str
+        Its standard output after the first line, complete after `stop`.
+    """
 
     def __init__(self, arguments: collections.abc.Sequence[str]) -> None:
         self._popen = subprocess.Popen(
@@ -89,8 +98,16 @@
         if not line:
             raise RuntimeError(f"{arguments} ended with {self._popen.wait()}")
         self.port = int(json.loads(line)["port"])
+        self.lines: list[str] = []
+        self._reader = threading.Thread(target=self._read, daemon=True)
+        self._reader.start()
         self.url = f"http://127.0.0.1:{self.port}"
 
+    def _read(self) -> None:
+        assert self._popen.stdout is not None
+        for line in self._popen.stdout:
+            self.lines.append(line)
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         self._popen.send_signal(number)
@@ -104,6 +121,7 @@
         if self._popen.poll() is None:
             self._popen.kill()
         self._popen.wait()
+        self._reader.join()
         if self._popen.stdout is not None:
             self._popen.stdout.close()
 
@@ -180,8 +198,10 @@
         """Write parts and a head straight into the platform stand-in."""
         named = {}
         for name, content in changes.items():
-            named[name] = parts.chunk_hash(content)
-            self._put("chunks/" + named[name], json.loads(content), create=True)
+            named[name] = parts.address(content)
+            for chunk in parts.split_content(content):
+                key = parts.CHUNK_PREFIX + parts.chunk_hash(chunk)
+                self._put(key, json.loads(chunk), create=True)
         head = parts.Head(version, f"rig-{version}", "", named)
         self._put("head", parts.head_document(head), create=version == 1)
 
