Merge distribution of the configuration and membership between instances

Cause: each instance watched the platform itself, so calls grew with the fleet and an instance started during an outage had no configuration.

--- a/jackdawpass/commands/entry.py
+++ b/jackdawpass/commands/entry.py
@@ -103,7 +103,8 @@
             f"cannot listen on {options.host}:{options.port} "
             f"({failure.socketError}); choose a free port"
         ) from None
-    print(json.dumps({"port": instance.port}), flush=True)
+    ports = {"port": instance.port, "peer_port": instance.peer_port}
+    print(json.dumps(ports), flush=True)
     log.release()
     outcomes = _stop_when_drained(reactor, instance)
     _run_reactor(reactor, arguments.profile)
--- a/jackdawpass/process/adaptive.py
+++ b/jackdawpass/process/adaptive.py
@@ -9,6 +9,7 @@
     hedging,
     latencies,
     limiter,
+    membership,
     policy,
     replicas,
     routing,
@@ -65,6 +66,7 @@
         self._random = generator
         self._instances_max = 1
         self._instances_seen = 0
+        self._leaving_targets: frozenset[str] = frozenset()
         self._services: dict[str, _ServiceState] = {}
         self._limiters: dict[str, limiter.Limiter] = {}
 
@@ -82,6 +84,14 @@
             name: self._kept_limiter(target) for name, target in targets.items()
         }
 
+    def on_members(self, now: float, view: membership.MembersView) -> None:
+        """Note the member view; a target no longer leaving is listed as live once."""
+        returned = self._leaving_targets - view.leaving_targets
+        self._leaving_targets = view.leaving_targets
+        listed = [ListedTarget(name, True) for name in sorted(view.leaving_targets)]
+        listed += [ListedTarget(name, False) for name in sorted(returned)]
+        self.on_instances(now, view.live + view.leaving, listed)
+
     def on_instances(
         self,
         now: float,
--- a/jackdawpass/process/entry.py
+++ b/jackdawpass/process/entry.py
@@ -12,6 +12,7 @@
     dispatcher,
     events,
     http_api,
+    membership,
     operations,
     operator_api,
     policy,
@@ -56,10 +57,11 @@
         self._wire = dialect.JsonDialect(options.zone)
         self._platform = platform_api.HttpPlatform(reactor, options.platform_url)
         self._control = control.Control(
-            reactor, self._platform, options.site, self._on_catalog
+            reactor, self._platform, options, self._on_catalog, self._on_members
         )
         self._dispatcher = dispatcher.Dispatcher(reactor, self._wire, decisions)
         self._catalog: catalog.Catalog | None = None
+        self._members: membership.MembersView | None = None
         self._operations = operations.Operations(reactor, options)
 
     @property
@@ -67,6 +69,18 @@
         """True when the instance can serve new requests."""
         return self._catalog is not None and not self._operations.draining
 
+    @property
+    def unready_reason(self) -> str | None:
+        """Why the instance is not ready; None when it is."""
+        if self._operations.draining:
+            return "draining"
+        return "no_configuration" if self._catalog is None else None
+
+    @property
+    def control_status(self) -> control.ControlStatus:
+        """Version, members, links and counters of control."""
+        return self._control.status
+
     @property
     def port(self) -> int:
         """Port on which callers are served."""
@@ -77,6 +91,11 @@
         """Events of this process."""
         return self._operations.events
 
+    @property
+    def peer_port(self) -> int:
+        """Port on which other entry instances are served."""
+        return self._control.peer_port
+
     def start(self) -> None:
         """Listen for callers and begin to fetch the configuration."""
         extra = operator_api.resources(self)
@@ -100,7 +119,7 @@
     @defer.inlineCallbacks
     def stop(self) -> typing.Generator[defer.Deferred[typing.Any], typing.Any, None]:
         """Stop listening and close all connections."""
-        self._control.stop()
+        yield self._control.stop()
         yield self._operations.stop()
         self._dispatcher.close()
         yield self._platform.close()
@@ -162,7 +181,10 @@
 
     def _on_catalog(self, current: catalog.Catalog) -> None:
         self._catalog = current
-        self._policy.apply(clock.monotonic(), current)
+        now = clock.monotonic()
+        self._policy.apply(now, current)
+        if self._members is not None:
+            self._policy.on_members(now, self._members)
         self._dispatcher.apply(current)
         self._operations.version_in_force(current.version)
 
@@ -182,6 +204,10 @@
         running.start()
         return running
 
+    def _on_members(self, view: membership.MembersView) -> None:
+        self._members = view
+        self._policy.on_members(clock.monotonic(), view)
+
     def _make_states(
         self, prepared: "_Prepared", idempotent: bool, recorded: bool
     ) -> machine.Machine:
--- a/jackdawpass/process/policy.py
+++ b/jackdawpass/process/policy.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing
 
-from jackdawpass.process import budget, hedging, routing
+from jackdawpass.process import budget, hedging, membership, routing
 from jackdawpass.request import machine, model
 from jackdawpass.version import catalog
 
@@ -67,6 +67,9 @@
     def apply(self, now: float, current: catalog.Catalog) -> None:
         """Take over a new catalog and keep what was learned of kept targets."""
 
+    def on_members(self, now: float, view: membership.MembersView) -> None:
+        """Take over the number of entry instances and the leaving targets."""
+
     def router(
         self, service: catalog.Service, shard_map: catalog.ShardMap
     ) -> machine.Router:
@@ -123,6 +126,9 @@
         """Return 0, since nothing is measured."""
         return 0.0
 
+    def on_members(self, now: float, view: membership.MembersView) -> None:
+        """Ignore the members."""
+
     def on_submitted(self, now: float, attempt: model.Attempt) -> None:
         """Ignore the attempt."""
 
--- a/jackdawpass/process/settings.py
+++ b/jackdawpass/process/settings.py
@@ -31,6 +31,13 @@
         Base URL of the platform's object API.
     max_body_bytes : int
         Largest request body accepted from a caller.
+    peer_host, peer_port : str, int
+        Address for other entry instances; port 0 takes a free one.
+    peer_address : str
+        ``host:port`` at which others reach this instance, if it differs from the
+        address it listens on.
+    seeds : list of str
+        ``host:port`` of entry instances to ask first.
     drain_grace_seconds : float
         Time from failing ``/readyz`` to closing the listening port; it must exceed
         the time that the load balancer takes to notice.
@@ -57,6 +64,10 @@
     port: int = 0
     platform_url: str = "http://127.0.0.1:8500"
     max_body_bytes: int = 1024 * 1024
+    peer_host: str = "127.0.0.1"
+    peer_port: int = 0
+    peer_address: str = ""
+    seeds: list[str] = dataclasses.field(default_factory=list)
     drain_grace_seconds: float = 5.0
     drain_timeout_seconds: float = 60.0
     log_share: float = 1.0
