Keep work from leaving targets, probe their health, and send cancellations

Cause: a target listed as leaving got work again after 30 s, a restarted one waited 30 s, the instance list did not reach the connection shares, and a cancelled attempt was only seen as a closed connection. Change: a drain ends by the list or by a health probe, at ever longer intervals, and never against a recent list; shares follow the member view; a cancellation is also sent on an idle connection.

--- a/jackdawpass/connection/dialect.py
+++ b/jackdawpass/connection/dialect.py
@@ -43,6 +43,12 @@
     def decode_run(self, attempt: model.Attempt, reply: HttpReply) -> RunResult:
         """Decode the reply to an attempt."""
 
+    def encode_health(self) -> bytes:
+        """Encode the HTTP request for a target's health."""
+
+    def decode_health(self, reply: HttpReply) -> bool:
+        """Return whether a target says that it accepts work."""
+
 
 class _WireResult(msgspec.Struct):
     id: str
@@ -66,6 +72,10 @@
     retry_after_ms: float = 0.0
 
 
+class _WireHealth(msgspec.Struct):
+    state: str
+
+
 _REFUSAL_KINDS = {
     "shed": model.FailureKind.SHED,
     "draining": model.FailureKind.DRAINING,
@@ -135,6 +145,18 @@
         )
         return head.encode("ascii") + body
 
+    def encode_health(self) -> bytes:
+        """Encode the HTTP request for a target's health."""
+        return f"GET {HEALTH_PATH} HTTP/1.1\r\nHost: target\r\n\r\n".encode("ascii")
+
+    def decode_health(self, reply: HttpReply) -> bool:
+        """Return whether a target says that it accepts work."""
+        try:
+            health = msgspec.json.decode(reply.body, type=_WireHealth)
+        except msgspec.DecodeError:
+            return False
+        return reply.status == 200 and health.state == "ready"
+
     def _decode_reply(self, attempt: model.Attempt, body: bytes) -> RunResult:
         try:
             wire = self._reply_decoder.decode(body)
--- a/jackdawpass/process/adaptive.py
+++ b/jackdawpass/process/adaptive.py
@@ -67,6 +67,7 @@
         self._instances_max = 1
         self._instances_seen = 0
         self._leaving_targets: frozenset[str] = frozenset()
+        self._list_is_recent = False
         self._services: dict[str, _ServiceState] = {}
         self._limiters: dict[str, limiter.Limiter] = {}
 
@@ -88,6 +89,7 @@
         """Note the member view; a target no longer leaving is listed as live once."""
         returned = self._leaving_targets - view.leaving_targets
         self._leaving_targets = view.leaving_targets
+        self._list_is_recent = view.recent
         listed = [ListedTarget(name, True) for name in sorted(view.leaving_targets)]
         listed += [ListedTarget(name, False) for name in sorted(returned)]
         self.on_instances(now, view.live + view.leaving, listed)
@@ -114,6 +116,29 @@
                 if replica is not None:
                     replica.on_listed(now, listed.leaving)
 
+    def take_due_probes(self, now: float) -> tuple[str, ...]:
+        """Return the draining targets whose health is to be asked for now.
+
+        A recent list that says leaving needs no second opinion; health endpoints may
+        lag or be wrong.
+        """
+        binding = self._leaving_targets if self._list_is_recent else frozenset()
+        due = {
+            name
+            for state in self._services.values()
+            for name in state.replicas.take_due_probes(now)
+        }
+        return tuple(sorted(due - binding))
+
+    def on_probe(self, now: float, target: str, ready: bool) -> None:
+        """Note whether a draining target says that it accepts work."""
+        if target in self._leaving_targets and self._list_is_recent:
+            return
+        for state in self._services.values():
+            replica = state.replicas.get(target)
+            if replica is not None and ready:
+                replica.readmit(now)
+
     def router(
         self, service: catalog.Service, shard_map: catalog.ShardMap
     ) -> machine.Router:
--- a/jackdawpass/process/channel.py
+++ b/jackdawpass/process/channel.py
@@ -1,14 +1,17 @@
 """The way of all sub-requests of this instance to one target."""
 
+import collections.abc
 import typing
 
 from jackdawpass import clock
-from jackdawpass.connection import dialect, pool
+from jackdawpass.connection import dialect, exchange, pool
 from jackdawpass.process import policy, submission, waiting
 from jackdawpass.request import model, runner
 
 MIN_WAKE_SECONDS = 0.0005
 
+OnProbe = collections.abc.Callable[[str, bool], None]
+
 _QUEUE_FULL = model.AttemptFailure(
     model.FailureKind.QUEUE_FULL, model.Execution.NOT_SENT
 )
@@ -77,6 +80,29 @@
         """Change the largest number of connections to the target."""
         self._pool.set_limit(limit)
 
+    def probe(self, on_result: OnProbe) -> None:
+        """Ask the target for its health; call back with whether it accepts work."""
+
+        def on_connection(connection: exchange.Exchange | None) -> None:
+            if connection is None:
+                on_result(self._target, False)
+            else:
+                connection.send(
+                    self._wire.encode_health(),
+                    lambda outcome: on_done(connection, outcome),
+                )
+
+        def on_done(
+            connection: exchange.Exchange, outcome: dialect.HttpReply | exchange.Loss
+        ) -> None:
+            ready = False
+            if isinstance(outcome, dialect.HttpReply):
+                self._pool.release(connection)
+                ready = self._wire.decode_health(outcome)
+            on_result(self._target, ready)
+
+        self._pool.acquire(on_connection)
+
     def close(self) -> None:
         """Close the connections as they become idle."""
         self._pool.close()
--- a/jackdawpass/process/control.py
+++ b/jackdawpass/process/control.py
@@ -24,6 +24,8 @@
 
 TICK_SECONDS = 0.5
 PING_SECONDS = 1.0
+# Readers read the list every second; news of it is relayed with the pings.
+LIST_RECENT_SECONDS = 15.0
 REPORT_SECONDS = 0.5
 MIN_LINKS = 2
 FIRST_LINKS_SECONDS = 2.0
@@ -193,7 +195,9 @@
             self._links.send(name, frame)
 
     def _tell(self, now: float) -> None:
-        view = self._membership.view()
+        age = self._duty.news.age(now)
+        recent = age is not None and age < LIST_RECENT_SECONDS
+        view = dataclasses.replace(self._membership.view(), recent=recent)
         if view != self._view:
             self._view = view
             self._on_members(view)
--- a/jackdawpass/process/dispatcher.py
+++ b/jackdawpass/process/dispatcher.py
@@ -68,6 +68,12 @@
             return _Ended()
         return channel_to_target.submit(attempt, query, listener)
 
+    def probe(self, target: str, on_result: channel.OnProbe) -> None:
+        """Ask a target for its health; one that was removed gives no result."""
+        channel_to_target = self._channels.get(target)
+        if channel_to_target is not None:
+            channel_to_target.probe(on_result)
+
     def resize(self, current: catalog.Catalog) -> None:
         """Apply the present shares of the targets' connection limits."""
         for service in current.services.values():
--- a/jackdawpass/process/entry.py
+++ b/jackdawpass/process/entry.py
@@ -16,6 +16,7 @@
     operations,
     operator_api,
     policy,
+    probing,
     settings,
     tracing,
 )
@@ -60,6 +61,7 @@
             reactor, self._platform, options, self._on_catalog, self._on_members
         )
         self._dispatcher = dispatcher.Dispatcher(reactor, self._wire, decisions)
+        self._prober = probing.Prober(reactor, decisions, self._dispatcher)
         self._catalog: catalog.Catalog | None = None
         self._members: membership.MembersView | None = None
         self._operations = operations.Operations(reactor, options)
@@ -102,6 +104,7 @@
         site = http_api.make_site(self, self._options.max_body_bytes, extra)
         self._operations.listen(site)
         self._control.start()
+        self._prober.start()
 
     def status(self) -> model.JsonObject:
         """Return the status document."""
@@ -120,6 +123,7 @@
     def stop(self) -> typing.Generator[defer.Deferred[typing.Any], typing.Any, None]:
         """Stop listening and close all connections."""
         yield self._control.stop()
+        self._prober.stop()
         yield self._operations.stop()
         self._dispatcher.close()
         yield self._platform.close()
@@ -207,6 +211,8 @@
     def _on_members(self, view: membership.MembersView) -> None:
         self._members = view
         self._policy.on_members(clock.monotonic(), view)
+        if self._catalog is not None:
+            self._dispatcher.resize(self._catalog)
 
     def _make_states(
         self, prepared: "_Prepared", idempotent: bool, recorded: bool
--- a/jackdawpass/process/membership.py
+++ b/jackdawpass/process/membership.py
@@ -59,12 +59,16 @@
         side.
     leaving_targets : frozenset of str
         Names of targets that the platform lists as leaving.
+    recent : bool
+        True when a reader has heard from the platform lately, so that the list lags
+        by little.
     """
 
     live: int
     leaving: int
     leaving_targets: frozenset[str]
     members: tuple[MemberState, ...]
+    recent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/jackdawpass/process/policy.py
+++ b/jackdawpass/process/policy.py
@@ -70,6 +70,12 @@
     def on_members(self, now: float, view: membership.MembersView) -> None:
         """Take over the number of entry instances and the leaving targets."""
 
+    def take_due_probes(self, now: float) -> tuple[str, ...]:
+        """Return the draining targets whose health is to be asked for now."""
+
+    def on_probe(self, now: float, target: str, ready: bool) -> None:
+        """Note whether a draining target says that it accepts work."""
+
     def router(
         self, service: catalog.Service, shard_map: catalog.ShardMap
     ) -> machine.Router:
@@ -129,6 +135,13 @@
     def on_members(self, now: float, view: membership.MembersView) -> None:
         """Ignore the members."""
 
+    def take_due_probes(self, now: float) -> tuple[str, ...]:
+        """Return no targets."""
+        return ()
+
+    def on_probe(self, now: float, target: str, ready: bool) -> None:
+        """Ignore the result."""
+
     def on_submitted(self, now: float, attempt: model.Attempt) -> None:
         """Ignore the attempt."""
 
--- a/jackdawpass/process/replicas.py
+++ b/jackdawpass/process/replicas.py
@@ -32,8 +32,10 @@
 SLOW_START_SECONDS = 5.0
 SLOW_START_MIN_WEIGHT = 0.05
 COLD_PAUSE_SECONDS = 0.2
-# Longer than a drain takes; the listing of a live instance ends it earlier.
-DRAINING_SECONDS = 30.0
+DRAIN_PROBE_SECONDS = 5.0
+MAX_DRAIN_PROBE_SECONDS = 60.0
+# Two drains closer together than this are one, whose target gave a wrong health.
+NEW_DRAIN_SECONDS = 120.0
 
 LOAD_HINT_SECONDS = 1.0
 # A false load figure changes the expected wait by this factor at most.
@@ -70,8 +72,11 @@
         self._ejected_until: float | None = None
         self._probing = False
         self._paused_until = -math.inf
-        self._draining_until = -math.inf
+        self._draining = False
         self._listed_leaving = False
+        self._drain_probe_at = -math.inf
+        self._drain_probe_delay = DRAIN_PROBE_SECONDS
+        self._readmitted_at = -math.inf
         self._started: float | None = None
         self._load: _Load | None = None
 
@@ -85,16 +90,14 @@
         """True from an ejection until a probe succeeds."""
         return self._ejected_until is not None
 
-    def draining(self, now: float) -> bool:
-        """Return True while the target must get no new work."""
-        if now + DRAINING_SECONDS < self._draining_until:
-            # The clock stepped back.
-            self._draining_until = now + DRAINING_SECONDS
-        return now < self._draining_until
+    @property
+    def draining(self) -> bool:
+        """True while the target must get no new work."""
+        return self._draining
 
     def usable(self, now: float) -> bool:
         """Return True when the target may get work, a probe included."""
-        if self.draining(now) or self._is_paused(now):
+        if self._draining or self._is_paused(now):
             return False
         if self._ejected_until is None:
             return True
@@ -141,12 +144,32 @@
         has replied that it drains, and a frozen one says leaving for ever.
         """
         if leaving and not self._listed_leaving:
-            self._draining_until = now + DRAINING_SECONDS
+            self._drain(now)
         elif self._listed_leaving and not leaving:
-            self._draining_until = -math.inf
-            self._started = now
+            self.readmit(now)
         self._listed_leaving = leaving
 
+    def take_due_probe(self, now: float) -> bool:
+        """Return whether to ask a draining target for its health; sets the next time.
+
+        Each probe doubles the time to the next, since a long drain needs few.
+        """
+        if not self._draining:
+            return False
+        remaining = self._drain_probe_at - now
+        # A remaining time over the longest delay means that the clock stepped back.
+        if 0 < remaining <= MAX_DRAIN_PROBE_SECONDS:
+            return False
+        self._set_drain_probe(now)
+        return True
+
+    def readmit(self, now: float) -> None:
+        """Give work to a target that drained and is back, slowly at first."""
+        if self._draining:
+            self._draining = False
+            self._readmitted_at = now
+            self._started = now
+
     def on_submitted(self, now: float) -> None:
         """Note a new attempt; on an ejected target it is the probe."""
         self._in_flight += 1
@@ -183,7 +206,7 @@
         was_probe = self._probing
         self._end()
         if failure.kind is model.FailureKind.DRAINING:
-            self._draining_until = now + DRAINING_SECONDS
+            self._drain(now)
         elif failure.kind is model.FailureKind.COLD:
             pause = min(failure.retry_after or COLD_PAUSE_SECONDS, SLOW_START_SECONDS)
             self._paused_until = now + pause
@@ -223,6 +246,19 @@
         self._in_flight = max(0, self._in_flight - 1)
         self._probing = False
 
+    def _drain(self, now: float) -> None:
+        if self._draining:
+            return
+        self._draining = True
+        if not 0 <= now - self._readmitted_at < NEW_DRAIN_SECONDS:
+            self._drain_probe_delay = DRAIN_PROBE_SECONDS
+        self._set_drain_probe(now)
+
+    def _set_drain_probe(self, now: float) -> None:
+        self._drain_probe_at = now + self._drain_probe_delay
+        doubled = 2 * self._drain_probe_delay
+        self._drain_probe_delay = min(doubled, MAX_DRAIN_PROBE_SECONDS)
+
     def _is_paused(self, now: float) -> bool:
         return 0 < self._paused_until - now <= SLOW_START_SECONDS
 
@@ -272,6 +308,12 @@
         if replica is not None and replica.on_failure(now, failure):
             self._eject(now, replica)
 
+    def take_due_probes(self, now: float) -> list[str]:
+        """Return the draining targets whose health is to be asked for now."""
+        return [
+            name for name, each in self._replicas.items() if each.take_due_probe(now)
+        ]
+
     def review(self, now: float) -> None:
         """Recompute the median latency and eject outliers; cheap when called often."""
         if 0 <= now - self._reviewed < REVIEW_SECONDS:
--- a/jackdawpass/process/routing.py
+++ b/jackdawpass/process/routing.py
@@ -167,7 +167,7 @@
             target.zone == self._zone,
             replica.usable(now),
             (weight := replica.weight(now)) >= 1 or self._random.random() < weight,
-            replica.draining(now),
+            replica.draining,
             self._at_limit(name, replica),
             replica.expected_wait(now, self._statistics.typical_latency),
         )
--- a/jackdawpass/process/submission.py
+++ b/jackdawpass/process/submission.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import functools
 import typing
 
 from jackdawpass import clock
@@ -101,8 +102,20 @@
             age = clock.monotonic() - self._sent_at
             self._connection.abort()
             self._connection = None
+            self._tell_target()
         self._end(Cancelled(age))
 
+    def _tell_target(self) -> None:
+        """Ask the target to stop working, if a connection is free for it.
+
+        The aborted connection says so too, but a target may notice that only when it
+        writes its reply.
+        """
+        connection = self._pool.take_idle()
+        if connection is not None:
+            release = functools.partial(_release, self._pool, connection)
+            connection.send(self._wire.encode_cancel(self._attempt), release)
+
     def _on_connection(self, connection: exchange.Exchange | None) -> None:
         if self._state is _State.ENDED:
             if connection is not None:
@@ -149,3 +162,12 @@
         was_started = self._state is not _State.QUEUED
         self._state = _State.ENDED
         self._owner.on_end(clock.monotonic(), self, end, was_started)
+
+
+def _release(
+    owner: pool.Pool,
+    connection: exchange.Exchange,
+    outcome: dialect.HttpReply | exchange.Loss,
+) -> None:
+    if isinstance(outcome, dialect.HttpReply):
+        owner.release(connection)
--- a/tests/process/test_replicas.py
+++ b/tests/process/test_replicas.py
@@ -66,13 +66,40 @@
         assert service["a"].usable(now) == usable
 
 
-def test_frozen_list_does_not_exclude_a_target_for_ever() -> None:
-    """Guards against a stale list that says leaving although the target is back."""
+def test_draining_target_gets_no_work_while_it_drains() -> None:
+    """Guards against new work for a target whose drain takes long."""
     replica = _Service("a")["a"]
-    for step in range(100):
+    for step in range(1000):
         replica.on_listed(float(step), leaving=True)
-    assert not replica.usable(1.0)
-    assert replica.usable(1.0 + replicas.DRAINING_SECONDS)
+        assert not replica.usable(float(step))
+
+
+def test_draining_target_is_probed_ever_less_often() -> None:
+    """Guards against a drain that costs as many probes as it lasts seconds."""
+    service = _Service("a")
+    service.fail(0.0, "a", samples.DRAINING)
+    probed = [step for step in range(200) if service["a"].take_due_probe(float(step))]
+    assert probed == [5, 15, 35, 75, 135, 195]
+
+
+def test_readmitted_target_starts_slowly_and_a_wrong_health_waits_longer() -> None:
+    """Guards against flapping between drain and work when health is wrong."""
+    service = _Service("a")
+    service.fail(0.0, "a", samples.DRAINING)
+    assert service["a"].take_due_probe(5.0)
+    service["a"].readmit(5.0)
+    assert service["a"].usable(5.0)
+    assert service["a"].weight(5.0) < 1
+    service.fail(5.1, "a", samples.DRAINING)
+    assert not service["a"].take_due_probe(25.0)
+    assert service["a"].take_due_probe(25.1)
+
+
+def test_probe_survives_a_clock_that_steps_back() -> None:
+    """Guards against a target that stays excluded after the clock stepped back."""
+    service = _Service("a")
+    service.fail(1000.0, "a", samples.DRAINING)
+    assert service["a"].take_due_probe(10.0)
 
 
 def test_cold_target_pauses_and_then_starts_slowly() -> None:
@@ -120,4 +147,4 @@
     assert not service["a"].usable(5.0)
     assert not service["b"].usable(5.0)
     assert service["a"].usable(5.0 + replicas.MAX_EJECTION_SECONDS)
-    assert service["b"].usable(5.0 + replicas.DRAINING_SECONDS)
+    assert service["b"].take_due_probe(5.0)
