--- a/jackdawpass/standins/target.py
+++ b/jackdawpass/standins/target.py
@@ -46,7 +46,7 @@
         self._closing = 0
         self._runs: collections.Counter[str] = collections.Counter()
         self._totals: collections.Counter[str] = collections.Counter()
-        self._last_ids: tuple[str, int] = ("", 0)
+        self._last_document: dict[str, typing.Any] | None = None
         self._frozen_health: dict[str, typing.Any] = {}
         self._frozen_load: dict[str, int] = {}
         self._listening: typing.Any = None
@@ -232,18 +232,17 @@
         self._refuse(job, "failed")
 
     def _reply(self, job: slots.Job) -> None:
-        ids = (job.run.request_id, job.run.attempt_id)
-        self._last_ids, last_ids = ids, self._last_ids
-        if self._faults.cross:
-            ids = last_ids
         document = {
-            "request_id": ids[0],
-            "attempt_id": ids[1],
+            "request_id": job.run.request_id,
+            "attempt_id": job.run.attempt_id,
             "snapshot": self._faults.snapshot or job.run.snapshot,
             "shards": {
                 str(shard): self._results(job.run, shard) for shard in job.run.shards
             },
         }
+        self._last_document, last = document, self._last_document
+        if self._faults.cross and last is not None:
+            document = last
         for _ in range(2 if self._faults.repeat else 1):
             self._write(job, 200, document)
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -100,6 +100,41 @@
         "if True:",
         "tests/failures/test_at_most_once.py",
     ),
+    Mutation(
+        "at most once",
+        "jackdawpass/request/claims.py",
+        "if content.writer == wanted.writer:",
+        "if True:",
+        "tests/specs/test_claim_conformance.py",
+    ),
+    Mutation(
+        "no work for a leaving target",
+        "jackdawpass/process/replicas.py",
+        "if leaving and not self._listed_leaving:\n            self._drain(now)",
+        "if leaving and not self._listed_leaving:\n            pass",
+        "tests/failures/test_leaving_target.py",
+    ),
+    Mutation(
+        "no work for a leaving target",
+        "jackdawpass/process/replicas.py",
+        "if failure.kind is model.FailureKind.DRAINING:\n            self._drain(now)",
+        "if failure.kind is model.FailureKind.DRAINING:\n            pass",
+        "tests/failures/test_leaving_target.py",
+    ),
+    Mutation(
+        "graceful stop",
+        "jackdawpass/process/drain.py",
+        "if connection not in busy:",
+        "if True:",
+        "tests/process/test_drain.py",
+    ),
+    Mutation(
+        "never reverts",
+        "jackdawpass/process/distribution.py",
+        "if head.version <= max(self.version, fetching):",
+        "if False:",
+        "tests/process/test_distribution.py",
+    ),
 )
 
 
