--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -18,14 +18,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Mutation:
-    """Replaces one piece of code by a faulty one.
+    """Replaces pieces of one module by faulty ones.
 
     Attributes
     ----------
     promise : str
         What the faulty code breaks.
+    old, new : str
+        Code that stands exactly once in the module, and its replacement.
     test : str
         Test that must fail, as a pytest node id.
+    also : tuple of (str, str)
+        Further replacements, for checks that back each other up.
     """
 
     promise: str
@@ -33,6 +37,7 @@
     old: str
     new: str
     test: str
+    also: tuple[tuple[str, str], ...] = ()
 
 
 MUTATIONS = (
@@ -53,9 +58,12 @@
     Mutation(
         "true coverage",
         "jackdawpass/request/fanout.py",
-        "if shard in reply.shards:\n"
-        "                self._merge.add(shard, reply.shards[shard])",
-        "self._merge.add(shard, reply.shards.get(shard, ()))",
+        "covered = attempt.shards & reply.shards.keys()\n"
+        "        for shard in covered:\n"
+        "            self._merge.add(shard, reply.shards[shard])",
+        "covered = attempt.shards\n"
+        "        for shard in covered:\n"
+        "            self._merge.add(shard, reply.shards.get(shard, ()))",
         "tests/request/test_fanout.py",
     ),
     Mutation(
@@ -134,6 +142,24 @@
         "if head.version <= max(self.version, fetching):",
         "if False:",
         "tests/process/test_distribution.py",
+        (
+            ("if update.version <= self.version:", "if False:"),
+            ("if head.version <= self.version:", "if False:"),
+        ),
+    ),
+    Mutation(
+        "connection limit",
+        "jackdawpass/process/shares.py",
+        "limit // max(1, instances_max, seen)",
+        "limit // max(1, seen)",
+        "tests/process/test_shares.py",
+    ),
+    Mutation(
+        "one accepted order",
+        "jackdawpass/process/store.py",
+        "if found.unwrap().writer == self._writer:",
+        "if False:",
+        "tests/process/test_store.py",
     ),
 )
 
@@ -171,9 +197,11 @@
 
 def _apply(mutation: Mutation, path: pathlib.Path) -> None:
     source = path.read_text(encoding="utf-8")
-    if source.count(mutation.old) != 1:
-        raise SystemExit(f"{mutation.path}: {mutation.old!r} is not there exactly once")
-    path.write_text(source.replace(mutation.old, mutation.new), encoding="utf-8")
+    for old, new in ((mutation.old, mutation.new), *mutation.also):
+        if source.count(old) != 1:
+            raise SystemExit(f"{mutation.path}: {old!r} is not there exactly once")
+        source = source.replace(old, new)
+    path.write_text(source, encoding="utf-8")
 
 
 if __name__ == "__main__":
