Show what policy and control have learned in status and gauges

Cause: limits, budgets, ejections and platform calls were described as metrics but sent by nobody, and /v1/status had no section for them. Conclusion: operators see why an instance refuses, spills or hedges.

--- a/jackdawpass/process/adaptive.py
+++ b/jackdawpass/process/adaptive.py
@@ -223,6 +223,31 @@
         if state.latencies.ready and age > state.latencies.percentile(50):
             state.latencies.add(now, age)
 
+    def report(self, now: float) -> policy.Report:
+        """Return what was learned, for operators."""
+        targets = {
+            name: policy.TargetReport(
+                round(gate.limit, 3),
+                round(gate.expected_latency() * 1000, 3),
+                any(r.ejected for r in self._replicas_of(name)),
+                any(r.draining for r in self._replicas_of(name)),
+            )
+            for name, gate in self._limiters.items()
+        }
+        services = {
+            name: policy.ServiceReport(
+                round(state.budget.tokens, 3), state.latencies.slow
+            )
+            for name, state in self._services.items()
+        }
+        return policy.Report(targets, services)
+
+    def _replicas_of(self, target: str) -> collections.abc.Iterator[replicas.Replica]:
+        for state in self._services.values():
+            replica = state.replicas.get(target)
+            if replica is not None:
+                yield replica
+
     def _state(self, service: catalog.Service) -> _ServiceState:
         state = self._services.get(service.name)
         if state is None:
--- a/jackdawpass/process/budget.py
+++ b/jackdawpass/process/budget.py
@@ -78,6 +78,13 @@
         self._reserve = TokenBudget(share, RESERVE_TOKENS if share > 0 else 0.0)
         self._slowness = slowness
 
+    @property
+    def tokens(self) -> float:
+        """Extra sub-requests that may be sent now."""
+        if self._slowness.slow:
+            return self._reserve.tokens
+        return self._open.tokens + self._reserve.tokens
+
     @property
     def allows_hedges(self) -> bool:
         """True while there is budget left beyond what retries need."""
--- a/jackdawpass/process/entry.py
+++ b/jackdawpass/process/entry.py
@@ -17,6 +17,7 @@
     operator_api,
     policy,
     probing,
+    sections,
     settings,
     tracing,
 )
@@ -65,6 +66,8 @@
         self._catalog: catalog.Catalog | None = None
         self._members: membership.MembersView | None = None
         self._operations = operations.Operations(reactor, options)
+        self._operations.add_section(sections.PolicySection(decisions))
+        self._operations.add_section(sections.ControlSection(self._control))
 
     @property
     def ready(self) -> bool:
--- a/jackdawpass/process/metrics.py
+++ b/jackdawpass/process/metrics.py
@@ -57,18 +57,17 @@
     "budgets.<service>": Description(
         Kind.GAUGE, "sub-requests", "extra sub-requests that the budget allows now"
     ),
-    "ejections.<target>": Description(
-        Kind.COUNTER, "ejections", "times that a target was ejected"
+    "ejected.<target>": Description(
+        Kind.GAUGE, "0 or 1", "whether a target is ejected"
     ),
     "platform_calls.<call>": Description(
-        Kind.COUNTER, "calls", "calls to the platform's object API"
+        Kind.GAUGE, "calls", "calls of control to the platform since the start"
     ),
     "configuration_version": Description(
         Kind.GAUGE, "version", "configuration version in force"
     ),
 }
-"""All metrics; those of limits, budgets, ejections and platform calls are sent by the
-modules that own them."""
+"""All metrics."""
 
 
 class Metrics(typing.Protocol):
--- a/jackdawpass/process/operations.py
+++ b/jackdawpass/process/operations.py
@@ -13,6 +13,7 @@
 
 _logger = logs.get_logger(__name__)
 TICK_SECONDS = 0.1
+GAUGE_SECONDS = 10.0
 
 
 class StatusSection(typing.Protocol):
@@ -25,6 +26,9 @@
     def status(self, now: float) -> model.JsonObject:
         """Return the value of the member."""
 
+    def gauges(self, now: float) -> collections.abc.Mapping[str, float]:
+        """Return the gauges to send."""
+
 
 class Operations:
     """Observes one instance and shuts it down.
@@ -58,6 +62,7 @@
         self._running: set[str] = set()
         self._counters: collections.Counter[str] = collections.Counter()
         self._sections: list[StatusSection] = []
+        self._gauges_at = 0.0
         self._ticking = task.LoopingCall(self._tick)
         self._ticking.clock = reactor
         self._port: drain.Port | None = None
@@ -160,5 +165,14 @@
     def _tick(self) -> None:
         self.metrics.gauge("requests.in_flight", len(self._running))
         log = logs.current()
+        now = clock.monotonic()
         if log is not None:
-            log.tick(clock.monotonic())
+            log.tick(now)
+        if now >= self._gauges_at:
+            self._gauges_at = now + GAUGE_SECONDS
+            self._send_gauges(now)
+
+    def _send_gauges(self, now: float) -> None:
+        for section in self._sections:
+            for name, value in section.gauges(now).items():
+                self.metrics.gauge(name, value)
--- a/jackdawpass/process/policy.py
+++ b/jackdawpass/process/policy.py
@@ -1,5 +1,6 @@
 """The policy of an entry instance: which target, when, how many at once."""
 
+import collections.abc
 import dataclasses
 import typing
 
@@ -24,6 +25,40 @@
     max_queue: int = 64
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetReport:
+    """What was learned of one target.
+
+    Attributes
+    ----------
+    limit : float
+        Sub-requests that may run at once; under one, the share of time in use.
+    latency_ms : float
+        Recent latency; 0 when unknown.
+    """
+
+    limit: float
+    latency_ms: float
+    ejected: bool
+    draining: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceReport:
+    """What was learned of one service; `budget` is in extra sub-requests."""
+
+    budget: float
+    slow: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """What a policy has learned, by name of the target or service."""
+
+    targets: collections.abc.Mapping[str, TargetReport]
+    services: collections.abc.Mapping[str, ServiceReport]
+
+
 class Observer(typing.Protocol):
     """Sees each attempt once when it is submitted and once when it ends."""
 
@@ -76,6 +111,9 @@
     def on_probe(self, now: float, target: str, ready: bool) -> None:
         """Note whether a draining target says that it accepts work."""
 
+    def report(self, now: float) -> Report:
+        """Return what was learned, for operators."""
+
     def router(
         self, service: catalog.Service, shard_map: catalog.ShardMap
     ) -> machine.Router:
@@ -142,6 +180,10 @@
     def on_probe(self, now: float, target: str, ready: bool) -> None:
         """Ignore the result."""
 
+    def report(self, now: float) -> Report:
+        """Return an empty report, since nothing is learned."""
+        return Report({}, {})
+
     def on_submitted(self, now: float, attempt: model.Attempt) -> None:
         """Ignore the attempt."""
 
