Measure what a configuration of 5,700 targets costs an instance

Cause: CAPACITY.md needs slopes of configuration bytes, memory and time. Change: bench/catalog_cost.py.

--- /dev/null
+++ b/jackdawpass/bench/catalog_cost.py
@@ -0,0 +1,117 @@
+"""Measures what a configuration of many targets costs an instance.
+
+Run as ``python -m jackdawpass.bench.catalog_cost``; prints one JSON line per size.
+"""
+
+import argparse
+import gc
+import hashlib
+import json
+import random
+import time
+import tracemalloc
+import typing
+
+from jackdawpass.connection import frames
+from jackdawpass.process import adaptive
+from jackdawpass.version import catalog, parts
+
+TARGETS_PER_SERVICE = 190
+REPLICAS = 2
+ZONES = 8
+SIZES = (570, 1900, 5700)
+
+
+def service_settings(service: str) -> dict[str, typing.Any]:
+    """Return the settings of a service with its targets."""
+    number = int(service.removeprefix("service-"))
+    return {
+        "targets": {
+            f"{service}-{position}": {
+                "host": f"127.{number}.{position // 250}.{position % 250 + 1}",
+                "port": 8080,
+                "zone": f"zone-{position % ZONES}",
+                "connections": 2000,
+            }
+            for position in range(TARGETS_PER_SERVICE)
+        }
+    }
+
+
+def index(service: str) -> dict[str, typing.Any]:
+    """Return an index in which each shard has `REPLICAS` neighbouring targets."""
+    shards = TARGETS_PER_SERVICE // REPLICAS
+    placement = {
+        f"{service}-{position}": [position // REPLICAS]
+        for position in range(TARGETS_PER_SERVICE)
+    }
+    return {"snapshot": "s1", "shards": shards, "placement": placement}
+
+
+def contents(targets: int) -> dict[str, bytes]:
+    """Return all parts of a configuration with a number of targets."""
+    names = [f"service-{n}" for n in range(targets // TARGETS_PER_SERVICE)]
+    base = {
+        "instances_max": 1100,
+        "services": {name: service_settings(name) for name in names},
+    }
+    all_parts = parts.split_base(base)
+    for name in names:
+        all_parts[parts.INDEX_PREFIX + name] = parts.encode(index(name))
+    return all_parts
+
+
+def change_bytes(all_parts: dict[str, bytes]) -> int:
+    """Return the size of the frame that carries a change of one index."""
+    name = parts.INDEX_PREFIX + "service-0"
+    digest = hashlib.sha256(all_parts[name]).digest()
+    update = frames.Update(
+        version=2,
+        writer="0" * 32,
+        previous="0" * 64,
+        base=1,
+        changed={name: (digest,)},
+        removed=(),
+        digest=digest,
+        contents=(all_parts[name],),
+    )
+    return len(frames.encode(update))
+
+
+def measure(targets: int) -> dict[str, float]:
+    """Return bytes, memory and times for one size."""
+    all_parts = contents(targets)
+    named = {name: parts.address(content) for name, content in all_parts.items()}
+    head = parts.Head(1, "0" * 32, "0" * 64, named)
+    gc.collect()
+    tracemalloc.start()
+    built = catalog.build(1, "site", all_parts).unwrap()
+    decisions = adaptive.AdaptivePolicy("zone-0", random.Random(1))
+    decisions.apply(0.0, built)
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    started = time.process_time()
+    decisions.apply(0.0, catalog.build(1, "site", all_parts).unwrap())
+    elapsed = time.process_time() - started
+    return {
+        "targets": targets,
+        "parts": len(all_parts),
+        "configuration_bytes": sum(len(each) for each in all_parts.values()),
+        "largest_part_bytes": max(len(each) for each in all_parts.values()),
+        "head_bytes": len(parts.encode(parts.head_document(head))),
+        "change_bytes": change_bytes(all_parts),
+        "memory_bytes": used,
+        "apply_ms": round(elapsed * 1000, 1),
+    }
+
+
+def main() -> None:
+    """Print one JSON line per size."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sizes", type=int, nargs="+", default=list(SIZES))
+    for size in parser.parse_args().sizes:
+        print(json.dumps(measure(size)), flush=True)
+
+
+if __name__ == "__main__":
+    main()
