Give each target of the control measurement its own address

Change: one port per target, and a test that the measured configuration is valid. Figures: the run before ended with a TimeoutError after 50 services were refused.

--- a/jackdawpass/bench/control_cost.py
+++ b/jackdawpass/bench/control_cost.py
@@ -22,6 +22,7 @@
 SIZES = (5, 10, 20, 40)
 SERVICES = 50
 TARGETS_PER_SERVICE = 2
+FIRST_TARGET_PORT = 2000
 IDLE_SECONDS = 8.0
 CHANGE_SECONDS = 0.5
 SETTLE_SECONDS = 6.0
@@ -64,8 +65,14 @@
 def service_parts(number: int, revision: int) -> dict[str, bytes]:
     """Return the parts of one service; `revision` changes only its index."""
     name = f"service-{number}"
+    # No target listens; each has an address of its own, as the schema requires.
+    first_port = FIRST_TARGET_PORT + number * TARGETS_PER_SERVICE
     targets = {
-        f"{name}-{n}": {"host": "127.0.0.1", "port": 9, "zone": fleet.ZONES[n]}
+        f"{name}-{n}": {
+            "host": "127.0.0.1",
+            "port": first_port + n,
+            "zone": fleet.ZONES[n],
+        }
         for n in range(TARGETS_PER_SERVICE)
     }
     placement = {target: list(range(8)) for target in targets}
--- /dev/null
+++ b/tests/bench/test_control_cost.py
@@ -0,0 +1,13 @@
+from jackdawpass.bench import control_cost
+from jackdawpass.version import catalog
+
+
+def test_measured_configuration_is_valid() -> None:
+    """Guards against instances that never put the measured configuration in force."""
+    contents = {
+        name: content
+        for number in range(control_cost.SERVICES)
+        for name, content in control_cost.service_parts(number, 1).items()
+    }
+    built = catalog.build(1, "site", contents).unwrap()
+    assert len(built.services) == control_cost.SERVICES
