Share one blocking HTTP call between experiments and tests

It decodes the body only when it is asked to, so that a status can be read from a reply that is not JSON, and it reads no proxy from the environment, which urllib.request does. rig.call keeps its name.

--- a/jackdawpass/bench/cluster.py
+++ b/jackdawpass/bench/cluster.py
@@ -7,6 +7,7 @@
 import typing
 
 from jackdawpass.bench import layout, processes
+from jackdawpass.connection import blocking
 from jackdawpass.version import parts
 
 READY_TIMEOUT_SECONDS = 20.0
@@ -110,10 +111,10 @@
     def control(self, name: str, action: str, document: object = None) -> typing.Any:
         """Perform a control action on a target and return its reply."""
         url = f"{self._host_of[name].url}/{name}/{action}"
-        status, replies = processes.call("POST", url, document or {})
-        if status != 200:
-            raise RuntimeError(f"{action} of {name} failed: {status} {replies!r}")
-        return replies[name]
+        reply = blocking.call("POST", url, document or {})
+        if reply.status != 200:
+            raise RuntimeError(f"{action} of {name} failed: {reply}")
+        return reply.document[name]
 
     def control_all(
         self, action: str, document: object = None
@@ -121,12 +122,10 @@
         """Perform a control action on all targets and return their replies."""
         merged: dict[str, typing.Any] = {}
         for host in dict.fromkeys(self._host_of.values()):
-            status, replies = processes.call(
-                "POST", f"{host.url}/*/{action}", document or {}
-            )
-            if status != 200:
-                raise RuntimeError(f"{action} failed: {status} {replies!r}")
-            merged.update(replies)
+            reply = blocking.call("POST", f"{host.url}/*/{action}", document or {})
+            if reply.status != 200:
+                raise RuntimeError(f"{action} failed: {reply}")
+            merged.update(reply.document)
         return merged
 
     def faults(self, name: str, **faults: typing.Any) -> None:
@@ -155,11 +154,11 @@
     def _put(self, key: str, value: object, create: bool) -> None:
         url = f"{self._platform.url}/v1/objects/{key}"
         if create:
-            status, _ = processes.call("PUT", url, value, If_None_Match="*")
+            condition = {"If-None-Match": "*"}
         else:
-            stored = processes.call("GET", url)[1]
-            version = str(stored["version"])
-            status, _ = processes.call("PUT", url, value, If_Match=version)
+            stored = blocking.call("GET", url).document
+            condition = {"If-Match": str(stored["version"])}
+        status = blocking.call("PUT", url, value, condition).status
         # 412 for a chunk means that the same content is already stored.
         if status not in (200, 201) and not (create and status == 412):
             raise RuntimeError(f"PUT {key} failed with status {status}")
@@ -181,7 +180,7 @@
 
 def _wait_ready(entry: processes.Server) -> None:
     deadline = time.monotonic() + READY_TIMEOUT_SECONDS
-    while processes.call("GET", entry.url + "/readyz")[0] != 200:
+    while blocking.call("GET", entry.url + "/readyz").status != 200:
         if time.monotonic() > deadline:
             raise TimeoutError(f"the entry instance at {entry.url} is not ready")
         time.sleep(POLL_SECONDS)
--- a/jackdawpass/bench/processes.py
+++ b/jackdawpass/bench/processes.py
@@ -7,28 +7,12 @@
 import subprocess
 import sys
 import typing
-import urllib.error
-import urllib.request
 
-CALL_TIMEOUT_SECONDS = 10.0
 _PACKAGE_ROOT = pathlib.Path(__file__).resolve().parents[2]
 _TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
-def call(method: str, url: str, document: object = None, **headers: str) -> typing.Any:
-    """Make one HTTP call; return the status and the decoded body."""
-    body = None if document is None else json.dumps(document).encode()
-    names = {name.replace("_", "-"): value for name, value in headers.items()}
-    request = urllib.request.Request(url, data=body, method=method, headers=names)
-    try:
-        with urllib.request.urlopen(request, timeout=CALL_TIMEOUT_SECONDS) as reply:
-            content = reply.read()
-            return reply.status, json.loads(content) if content else None
-    except urllib.error.HTTPError as error:
-        return error.code, error.read()
-
-
 def start(module: str, *arguments: str) -> subprocess.Popen[str]:
     """Start a module of this package with pipes on its input and output."""
     return subprocess.Popen(
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -1,7 +1,6 @@
 """Starts the product and its stand-ins as separate processes on loopback."""
 
 import collections.abc
-import dataclasses
 import json
 import signal
 import subprocess
@@ -9,56 +8,17 @@
 import threading
 import time
 import typing
-import urllib.error
-import urllib.request
 
+from jackdawpass.connection import blocking
 from jackdawpass.version import parts
 
 START_TIMEOUT_SECONDS = 20.0
 POLL_SECONDS = 0.02
 
 
-@dataclasses.dataclass(frozen=True)
-class HttpAnswer:
-    """Status, headers and decoded JSON body of a reply."""
-
-    status: int
-    headers: collections.abc.Mapping[str, str]
-    document: typing.Any
-
-
-def call(
-    method: str,
-    url: str,
-    document: object = None,
-    headers: collections.abc.Mapping[str, str] | None = None,
-    timeout: float = 20.0,
-) -> HttpAnswer:
-    """Make one HTTP call and decode its JSON reply."""
-    body = None if document is None else json.dumps(document).encode()
-    return call_raw(method, url, body, headers, timeout)
-
-
-def call_raw(
-    method: str,
-    url: str,
-    body: bytes | None,
-    headers: collections.abc.Mapping[str, str] | None = None,
-    timeout: float = 20.0,
-) -> HttpAnswer:
-    """Make one HTTP call with the given body."""
-    request = urllib.request.Request(
-        url, data=body, method=method, headers=dict(headers or {})
-    )
-    try:
-        with urllib.request.urlopen(request, timeout=timeout) as reply:
-            return HttpAnswer(reply.status, dict(reply.headers), _decode(reply.read()))
-    except urllib.error.HTTPError as error:
-        return HttpAnswer(error.code, dict(error.headers), _decode(error.read()))
-
-
-def _decode(body: bytes) -> typing.Any:
-    return json.loads(body) if body else None
+HttpAnswer = blocking.HttpReply
+call = blocking.call
+call_raw = blocking.call_raw
 
 
 def wait_for(
