Print reports, failures and warnings in one way

A refused query puts the problem document into its failure document instead of standard output. Usage errors keep argparse's form and exit code 2.

console.py keeps arguments, exit codes and calls to instances; an address is a data class instead of a tuple. session.Failed and console.Failed were the same and are one. The new test runs ten failing commands in both formats.

--- a/jackdawpass/cli.py
+++ b/jackdawpass/cli.py
@@ -15,6 +15,7 @@
     entry,
     index,
     query,
+    reports,
     stand_in,
     status,
     timeline,
@@ -54,9 +55,8 @@
     try:
         return int(arguments.run(arguments))
     except console.Failed as error:
-        return console.fail(str(error))
-    except console.Usage as error:
-        return console.fail(str(error), console.EXIT_USAGE)
+        output_format = getattr(arguments, "format", console.TEXT_FORMAT)
+        return reports.show_failure(error, output_format)
     except BrokenPipeError:
         # The reader of the output, such as `head`, has closed it.
         sys.stderr.close()
--- a/jackdawpass/commands/bench.py
+++ b/jackdawpass/commands/bench.py
@@ -6,10 +6,16 @@
 import sys
 import typing
 
+from jackdawpass.commands import console
+
+EXAMPLE = """example:
+  jackdawpass bench one-straggler --scale 0.2
+"""
+
 
 def add_parser(subparsers: typing.Any) -> None:
     """Add the command to the parser."""
-    parser = subparsers.add_parser("bench", help=__doc__)
+    parser = console.add_command(subparsers, "bench", __doc__, EXAMPLE)
     parser.add_argument("experiment", nargs="?", metavar="EXPERIMENT")
     parser.add_argument("--list", action="store_true", help="list the experiments")
     parser.add_argument("--seed", type=int, default=1)
@@ -34,8 +40,9 @@
         print("\n".join(f"{name:<22}{title}" for name, title in titles.items()))
         return 0
     if arguments.experiment not in titles:
-        print(f"no experiment {arguments.experiment!r}; see --list", file=sys.stderr)
-        return 2
+        arguments.parser.error(
+            f"no experiment {arguments.experiment!r}; use --list to see their names"
+        )
     options = suite.Options(
         arguments.seed, arguments.scale, arguments.rounds, pathlib.Path(arguments.out)
     )
--- a/jackdawpass/commands/config.py
+++ b/jackdawpass/commands/config.py
@@ -50,7 +50,9 @@
     except ValueError:
         value = 0
     if value < 1:
-        raise argparse.ArgumentTypeError(f"{text!r} is not an integer from 1")
+        raise argparse.ArgumentTypeError(
+            f"{text!r} is not a positive integer; use 1 or more"
+        )
     return value
 
 
@@ -72,7 +74,7 @@
     parser.add_argument(
         "overlays", metavar="OVERLAY", nargs="*", help="overlay of a site"
     )
-    session.add_format_argument(parser)
+    console.add_format(parser)
     parser.set_defaults(run=config_read.check)
 
 
@@ -238,14 +240,7 @@
 
 
 def _addresses(text: str) -> tuple[str, ...]:
-    addresses = tuple(text.split(","))
-    for address in addresses:
-        host, _, port = address.rpartition(":")
-        if not host or not address.isascii() or not port.isdecimal():
-            raise argparse.ArgumentTypeError(
-                f"{address!r} is not an address; use host:port"
-            )
-    return addresses
+    return tuple(str(console.address(each)) for each in text.split(","))
 
 
 def _seconds(text: str) -> float:
@@ -254,5 +249,7 @@
     except ValueError:
         value = -1.0
     if not 0 <= value <= 86_400:
-        raise argparse.ArgumentTypeError(f"{text!r} is not a time in seconds")
+        raise argparse.ArgumentTypeError(
+            f"{text!r} is not a time in seconds; use a number from 0 to 86400"
+        )
     return value
--- a/jackdawpass/commands/config_read.py
+++ b/jackdawpass/commands/config_read.py
@@ -15,8 +15,6 @@
 from jackdawpass.process import archive
 from jackdawpass.version import documents, parts
 
-JSON_INDENT = 2
-
 
 def check(arguments: argparse.Namespace) -> int:
     """Check a base file and overlays without reaching the platform."""
@@ -142,7 +140,7 @@
 
 def _shown(version: int, document: documents.JsonObject) -> reports.Report:
     # The version is a comment, so that the output is a file that can be applied.
-    text = f"// version {version}\n{json.dumps(document, indent=JSON_INDENT)}"
+    text = f"// version {version}\n{json.dumps(document, indent=reports.JSON_INDENT)}"
     return reports.Report({"version": version, "configuration": document}, text)
 
 
--- a/jackdawpass/commands/config_wait.py
+++ b/jackdawpass/commands/config_wait.py
@@ -10,7 +10,7 @@
 from twisted.web import client
 
 from jackdawpass import clock
-from jackdawpass.commands import reports, session
+from jackdawpass.commands import console, reports, session
 
 POLL_SECONDS = 0.2
 CALL_TIMEOUT_SECONDS = 2.0
@@ -101,9 +101,9 @@
 
 def _behind(
     version: int, names: list[str], polled: dict[str, Polled]
-) -> session.Failed:
+) -> console.Failed:
     listed = ", ".join(f"{name} ({_state(polled[name])})" for name in names)
-    return session.Failed(
+    return console.Failed(
         f"version {version} is not in force on {listed}; "
         "check these instances, or wait longer with --timeout"
     )
--- a/jackdawpass/commands/console.py
+++ b/jackdawpass/commands/console.py
@@ -1,30 +1,38 @@
-"""Arguments, output and exit codes that the commands share."""
+"""Arguments, calls to instances and exit codes that the commands share."""
 
 import argparse
 import collections.abc
+import dataclasses
 import http.client
-import json
 import re
-import sys
 import typing
 
 from jackdawpass import checked
+from jackdawpass.connection import blocking
 
 EXIT_DONE = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 
-CALL_TIMEOUT_SECONDS = 10.0
+JSON_FORMAT = "json"
+TEXT_FORMAT = "text"
 
-Row = collections.abc.Mapping[str, typing.Any]
+CALL_TIMEOUT_SECONDS = 10.0
 
 
 class Failed(Exception):
-    """A command that was refused or failed; the message names the remedy."""
+    """A command that was refused or failed; each line of it names the remedy."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """Where an instance listens."""
 
+    host: str
+    port: int
 
-class Usage(Exception):
-    """A command that was called in a wrong way; the message names the remedy."""
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
 
 
 class Parser(argparse.ArgumentParser):
@@ -44,13 +52,6 @@
         self.error(f"argument {name!r} is unknown; {hint}")
 
 
-class HttpReply(typing.NamedTuple):
-    """Status and decoded JSON body of a reply."""
-
-    status: int
-    document: typing.Any
-
-
 def add_command(
     subparsers: typing.Any, name: str, documentation: str | None, example: str
 ) -> argparse.ArgumentParser:
@@ -71,11 +72,14 @@
 def add_format(parser: argparse.ArgumentParser) -> None:
     """Add the option that chooses the output format."""
     parser.add_argument(
-        "--format", choices=("json", "text"), default="text", help="output format"
+        "--format",
+        choices=(JSON_FORMAT, TEXT_FORMAT),
+        default=TEXT_FORMAT,
+        help="output format (default: %(default)s)",
     )
 
 
-def address(text: str) -> tuple[str, int]:
+def address(text: str) -> Address:
     """Parse HOST:PORT.
 
     Raises
@@ -83,22 +87,23 @@
     argparse.ArgumentTypeError
         If the text is not of that form.
     """
-    host, separator, port = text.rpartition(":")
-    if not separator or not host or not port.isdecimal() or int(port) > 65_535:
+    host, _, port = text.rpartition(":")
+    valid = host and host.isascii() and port.isdecimal() and int(port) <= 65_535
+    if not valid:
         raise argparse.ArgumentTypeError(
             f"{text!r} is not an address; write HOST:PORT, such as 127.0.0.1:8080"
         )
-    return host, int(port)
+    return Address(host, int(port))
 
 
 def call(
-    where: tuple[str, int],
+    where: Address,
     method: str,
     path: str,
     document: object = None,
-    headers: collections.abc.Mapping[str, str] | None = None,
+    headers: blocking.Headers | None = None,
     timeout: float = CALL_TIMEOUT_SECONDS,
-) -> HttpReply:
+) -> blocking.HttpReply:
     """Make one HTTP call to an instance; `timeout` is in seconds.
 
     Raises
@@ -106,57 +111,19 @@
     Failed
         If the instance cannot be reached or its reply is not JSON.
     """
-    host, port = where
-    body = None if document is None else json.dumps(document)
-    connection = http.client.HTTPConnection(host, port, timeout=timeout)
+    url = f"http://{where}{path}"
     try:
-        connection.request(method, path, body, dict(headers or {}))
-        reply = connection.getresponse()
-        return HttpReply(reply.status, json.loads(reply.read()))
+        reply = blocking.call(method, url, document, headers, timeout)
     except (OSError, http.client.HTTPException) as error:
         raise Failed(
-            f"{host}:{port} cannot be reached ({error}); check the address and that "
-            "the instance runs"
+            f"{where} cannot be reached ({error}); check the address and that the "
+            "instance runs"
         ) from None
+    try:
+        _ = reply.document
     except ValueError:
         raise Failed(
-            f"{host}:{port} did not reply with JSON; check that an entry instance "
-            "listens there"
+            f"{where} did not reply with JSON; check that an entry instance listens "
+            "there"
         ) from None
-    finally:
-        connection.close()
-
-
-def fail(message: str, code: int = EXIT_FAILED) -> int:
-    """Print an error and return the exit code."""
-    print(f"jackdawpass: {message}", file=sys.stderr)
-    return code
-
-
-def show(rows: collections.abc.Sequence[Row], output: str) -> None:
-    """Print rows as a table or as JSON."""
-    if output == "json":
-        print(json.dumps(list(rows), indent=2))
-    else:
-        print("\n".join(table(rows)))
-
-
-def table(rows: collections.abc.Sequence[Row]) -> list[str]:
-    """Return the lines of a table whose columns are the keys of the first row."""
-    if not rows:
-        return []
-    columns = list(rows[0])
-    cells = [columns, *([_cell(row[name]) for name in columns] for row in rows)]
-    widths = [max(len(line[i]) for line in cells) for i in range(len(columns))]
-    return [
-        "  ".join(
-            text.ljust(width) for text, width in zip(line, widths, strict=True)
-        ).rstrip()
-        for line in cells
-    ]
-
-
-def _cell(value: object) -> str:
-    if isinstance(value, bool):
-        return "yes" if value else "no"
-    return str(value)
+    return reply
--- a/jackdawpass/commands/demo.py
+++ b/jackdawpass/commands/demo.py
@@ -3,7 +3,6 @@
 import argparse
 import json
 import random
-import sys
 import typing
 
 import msgspec
@@ -11,7 +10,7 @@
 from twisted.internet import defer, task
 from twisted.web import client
 
-from jackdawpass.commands import console
+from jackdawpass.commands import console, reports
 from jackdawpass.connection import platform_api
 from jackdawpass.process import adaptive, entry, settings, store
 from jackdawpass.standins import platform, target
@@ -60,7 +59,8 @@
 
     def fail(self, failure: typing.Any) -> None:
         """Print why the demo failed."""
-        print(f"demo failed: {failure.getErrorMessage()}", file=sys.stderr)
+        error = console.Failed(f"demo failed: {failure.getErrorMessage()}")
+        reports.show_failure(error, console.TEXT_FORMAT)
 
     @defer.inlineCallbacks
     def run(self) -> Steps:
--- a/jackdawpass/commands/drain.py
+++ b/jackdawpass/commands/drain.py
@@ -1,12 +1,11 @@
 """Command `drain`: shut an entry instance down gracefully."""
 
 import argparse
-import json
 import time
 import typing
 
 from jackdawpass import clock
-from jackdawpass.commands import console
+from jackdawpass.commands import console, reports
 
 EXAMPLE = """example:
   jackdawpass drain 127.0.0.1:8080 --wait-seconds 90
@@ -43,14 +42,12 @@
     else:
         state = "draining"
     instance = reply.document["instance"]
-    if arguments.format == "json":
-        print(json.dumps({"instance": instance, "state": state}))
-    else:
-        print(f"{instance} is {state}")
-    return console.EXIT_DONE
+    document = {"instance": instance, "state": state}
+    report = reports.Report(document, f"{instance} is {state}")
+    return reports.show_report(report, arguments.format)
 
 
-def _wait(where: tuple[str, int], seconds: float) -> None:
+def _wait(where: console.Address, seconds: float) -> None:
     deadline = clock.monotonic() + seconds
     while clock.monotonic() < deadline:
         try:
--- a/jackdawpass/commands/entry.py
+++ b/jackdawpass/commands/entry.py
@@ -13,7 +13,7 @@
 from returns import result
 
 from jackdawpass.bench import naive
-from jackdawpass.commands import console
+from jackdawpass.commands import console, reports
 from jackdawpass.process import adaptive, entry, logs, policy, settings
 
 EXAMPLE = """example:
@@ -51,11 +51,10 @@
     """Run an entry instance until it is told to stop."""
     loaded = _load(arguments)
     if isinstance(loaded, result.Failure):
-        return console.fail(str(loaded.failure()))
+        return reports.show_failure(loaded.failure(), arguments.format)
     effective = loaded.unwrap()
     if arguments.check:
-        _print_settings(effective, arguments.format)
-        return console.EXIT_DONE
+        return reports.show_report(_settings_report(effective), arguments.format)
     return _serve(effective.settings, arguments)
 
 
@@ -77,13 +76,13 @@
     return settings.load(text, arguments.settings or "", os.environ, flags)
 
 
-def _print_settings(effective: settings.Effective, output: str) -> None:
+def _settings_report(effective: settings.Effective) -> reports.Report:
     values = dataclasses.asdict(effective.settings)
     rows = [
         {"name": name, "value": value, "origin": effective.origins[name]}
         for name, value in values.items()
     ]
-    console.show(rows, output)
+    return reports.Report(rows, reports.table(rows))
 
 
 def _serve(options: settings.EntrySettings, arguments: argparse.Namespace) -> int:
--- a/jackdawpass/commands/index.py
+++ b/jackdawpass/commands/index.py
@@ -9,7 +9,7 @@
 from returns import result
 from twisted.internet import defer
 
-from jackdawpass.commands import config, config_read, files, reports, session
+from jackdawpass.commands import config, console, files, reports, session
 from jackdawpass.process import archive
 from jackdawpass.version import parts
 
@@ -65,14 +65,14 @@
     name = parts.INDEX_PREFIX + service
     if name not in head.parts:
         message = f"service {service!r} has no published index; use `index publish`"
-        return result.Failure(session.Failed(message))
+        return result.Failure(console.Failed(message))
     read = yield reading.contents({name: head.parts[name]})
     return read.map(lambda contents: _report(head.version, contents[name]))
 
 
 def _report(version: int, content: bytes) -> reports.Report:
     document = msgspec.json.decode(content)
-    text = json.dumps(document, indent=config_read.JSON_INDENT)
+    text = json.dumps(document, indent=reports.JSON_INDENT)
     return reports.Report(
         {"version": version, "index": document}, f"// version {version}\n{text}"
     )
--- a/jackdawpass/commands/query.py
+++ b/jackdawpass/commands/query.py
@@ -5,7 +5,9 @@
 import typing
 import urllib.parse
 
-from jackdawpass.commands import console
+from jackdawpass.commands import console, reports
+from jackdawpass.connection import blocking
+from jackdawpass.request import model
 
 EXAMPLE = """example:
   jackdawpass query 127.0.0.1:8080 lots '{"text": "offers"}' --limit 5
@@ -47,23 +49,23 @@
         wait,
     )
     if reply.status != 200:
-        if arguments.format == "json":
-            print(json.dumps(reply.document, indent=2))
-        return console.fail(_problem_line(reply))
-    _print(reply.document, arguments.format)
-    return console.EXIT_DONE
+        error = console.Failed(_problem_line(reply))
+        detail = {"problem": reply.document}
+        return reports.show_failure(error, arguments.format, detail)
+    report = reports.Report(reply.document, _answer_text(reply.document))
+    return reports.show_report(report, arguments.format)
 
 
 def _path_part(name: str) -> str:
     return urllib.parse.quote(name, safe="")
 
 
-def _document(arguments: argparse.Namespace) -> dict[str, typing.Any]:
+def _document(arguments: argparse.Namespace) -> model.JsonObject:
     try:
         query = json.loads(arguments.query)
     except ValueError:
         query = arguments.query
-    document: dict[str, typing.Any] = {"query": query}
+    document: model.JsonObject = {"query": query}
     for name in ("timeout_ms", "limit", "min_coverage", "shard_key"):
         value = getattr(arguments, name)
         if value is not None:
@@ -78,28 +80,29 @@
     return {"Idempotency-Key": key} if key is not None else {}
 
 
-def _problem_line(reply: console.HttpReply) -> str:
+def _problem_line(reply: blocking.HttpReply) -> str:
     problem = reply.document if isinstance(reply.document, dict) else {}
     kind = problem.get("kind", f"HTTP status {reply.status}")
     outcome = problem.get("outcome", "unknown outcome")
     return f"{kind} ({outcome}): {problem.get('detail', 'no detail; see the log')}"
 
 
-def _print(answer: dict[str, typing.Any], output: str) -> None:
-    if output == "json":
-        print(json.dumps(answer, indent=2))
-        return
+def _answer_text(answer: model.JsonObject) -> str:
     coverage = answer["coverage"]
     state = "complete" if answer["complete"] else "partial"
-    print(
+    lines = [
         f"{state}: {coverage['covered']} of {coverage['shards']} shards, "
         f"snapshot {answer['snapshot']}, {answer['elapsed_ms']} ms, "
         f"request {answer['request_id']}"
-    )
-    for missing in coverage["missing"]:
-        print(f"missing shard {missing['shard']}: {missing['reason']}")
+    ]
+    lines += [
+        f"missing shard {missing['shard']}: {missing['reason']}"
+        for missing in coverage["missing"]
+    ]
     rows = [
         {"id": item["id"], "score": item["score"], "value": json.dumps(item["value"])}
         for item in answer["results"]
     ]
-    console.show(rows, "text")
+    if rows:
+        lines.append(reports.table(rows))
+    return "\n".join(lines)
--- a/jackdawpass/commands/reports.py
+++ b/jackdawpass/commands/reports.py
@@ -1,5 +1,10 @@
-"""What operators' commands print: reports, failures and progress."""
+"""What all commands print: reports, failures, warnings and progress.
 
+A report goes to standard output, everything else to standard error. With
+``--format json`` each of them but progress is one JSON document.
+"""
+
+import collections.abc
 import dataclasses
 import json
 import sys
@@ -7,8 +12,9 @@
 
 from jackdawpass.commands import console
 
-JSON_FORMAT = "json"
-TEXT_FORMAT = "text"
+JSON_INDENT = 2
+
+Row = collections.abc.Mapping[str, typing.Any]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,26 +35,70 @@
 
 def show_report(report: Report, output_format: str) -> int:
     """Print a report on standard output and return the exit code."""
-    if output_format == JSON_FORMAT:
-        print(json.dumps(report.document))
+    if output_format == console.JSON_FORMAT:
+        print(json.dumps(report.document, indent=JSON_INDENT))
     elif report.text:
         print(report.text)
     return console.EXIT_DONE
 
 
-def show_failure(error: object, output_format: str) -> int:
-    """Print an error on standard error, one line per fault; return the exit code."""
+def show_failure(error: object, output_format: str, detail: Row | None = None) -> int:
+    """Print an error on standard error, one line per fault; return the exit code.
+
+    Parameters
+    ----------
+    error : object
+        An error kind or exception whose text has one line per fault, each with its
+        remedy; its class names the error in the JSON document.
+    output_format : str
+        Value of ``--format``.
+    detail : mapping, optional
+        Further members of the JSON document.
+    """
     lines = str(error).splitlines()
-    if output_format == JSON_FORMAT:
-        document = {"error": type(error).__name__, "messages": lines}
-        print(json.dumps(document), file=sys.stderr)
+    if output_format == console.JSON_FORMAT:
+        name = type(error).__name__
+        _print_error_document({"error": name, "messages": lines, **(detail or {})})
     else:
         for line in lines:
             print(f"error: {line}", file=sys.stderr)
     return console.EXIT_FAILED
 
 
+def show_warning(message: str, output_format: str) -> None:
+    """Print what reduces the value of a report without preventing it."""
+    if output_format == console.JSON_FORMAT:
+        _print_error_document({"warning": message})
+    else:
+        print(f"warning: {message}", file=sys.stderr)
+
+
 def show_progress(message: str) -> None:
     """Print progress on standard error when it is a terminal."""
     if sys.stderr.isatty():
         print(message, file=sys.stderr, flush=True)
+
+
+def table(rows: collections.abc.Sequence[Row]) -> str:
+    """Return a table whose columns are the keys of the first row."""
+    if not rows:
+        return ""
+    columns = list(rows[0])
+    cells = [columns, *([_cell(row[name]) for name in columns] for row in rows)]
+    widths = [max(len(line[i]) for line in cells) for i in range(len(columns))]
+    return "\n".join(
+        "  ".join(
+            text.ljust(width) for text, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in cells
+    )
+
+
+def _cell(value: object) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    return str(value)
+
+
+def _print_error_document(document: Row) -> None:
+    print(json.dumps(document, indent=JSON_INDENT), file=sys.stderr)
--- a/jackdawpass/commands/session.py
+++ b/jackdawpass/commands/session.py
@@ -11,7 +11,7 @@
 from twisted.python import failure
 
 from jackdawpass import errors
-from jackdawpass.commands import reports
+from jackdawpass.commands import console, reports
 from jackdawpass.connection import platform_api
 from jackdawpass.process import archive, pace
 from jackdawpass.version import parts
@@ -22,17 +22,7 @@
 Steps = typing.Generator[defer.Deferred[typing.Any], typing.Any, T]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Failed:
-    """A failure outside the product's own error kinds."""
-
-    message: str
-
-    def __str__(self) -> str:
-        return self.message
-
-
-ReportResult = result.Result[reports.Report, errors.ChangeError | Failed]
+ReportResult = result.Result[reports.Report, errors.ChangeError | console.Failed]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,17 +59,7 @@
         default=DEFAULT_PLATFORM_URL,
         help="address of the platform's object API (default: %(default)s)",
     )
-    add_format_argument(parser)
-
-
-def add_format_argument(parser: argparse.ArgumentParser) -> None:
-    """Add the argument that selects the output format."""
-    parser.add_argument(
-        "--format",
-        choices=(reports.JSON_FORMAT, reports.TEXT_FORMAT),
-        default=reports.TEXT_FORMAT,
-        help="output format (default: %(default)s)",
-    )
+    console.add_format(parser)
 
 
 def run(arguments: argparse.Namespace, action: Action) -> int:
@@ -104,7 +84,7 @@
 def _show(outcomes: list[ReportResult | failure.Failure], output_format: str) -> int:
     if not outcomes:
         message = "interrupted; see `config history` for what was accepted"
-        return reports.show_failure(Failed(message), output_format)
+        return reports.show_failure(console.Failed(message), output_format)
     outcome = outcomes[0]
     if isinstance(outcome, failure.Failure):
         outcome.raiseException()
--- a/jackdawpass/commands/status.py
+++ b/jackdawpass/commands/status.py
@@ -1,10 +1,9 @@
 """Command `status`: show the state of entry instances."""
 
 import argparse
-import json
 import typing
 
-from jackdawpass.commands import console
+from jackdawpass.commands import console, reports
 
 EXAMPLE = """example:
   jackdawpass status 127.0.0.1:8080 127.0.0.1:8081
@@ -41,22 +40,16 @@
             failures.append(str(error))
             continue
         if reply.status != 200:
-            host, port = where
             failures.append(
-                f"{host}:{port} has no status (HTTP status {reply.status}); check "
+                f"{where} has no status (HTTP status {reply.status}); check "
                 "that an entry instance listens there"
             )
             continue
         documents.append(reply.document)
-    _print(documents, arguments.format)
-    for failure in failures:
-        console.fail(failure)
-    return console.EXIT_FAILED if failures else console.EXIT_DONE
-
-
-def _print(documents: list[dict[str, typing.Any]], output: str) -> None:
-    if output == "json":
-        print(json.dumps(documents, indent=2))
-    elif documents:
-        rows = [{name: each[name] for name in COLUMNS} for each in documents]
-        console.show(rows, "text")
+    rows = [{name: each[name] for name in COLUMNS} for each in documents]
+    report = reports.Report(documents, reports.table(rows))
+    code = reports.show_report(report, arguments.format)
+    if failures:
+        unreachable = console.Failed("\n".join(failures))
+        return reports.show_failure(unreachable, arguments.format)
+    return code
--- a/jackdawpass/commands/timeline.py
+++ b/jackdawpass/commands/timeline.py
@@ -3,10 +3,9 @@
 import argparse
 import datetime
 import pathlib
-import sys
 import typing
 
-from jackdawpass.commands import console
+from jackdawpass.commands import console, reports
 from jackdawpass.process import events
 from jackdawpass.timeline import filters, merge, reading, render_html, render_text
 
@@ -37,10 +36,10 @@
 def run(arguments: argparse.Namespace) -> int:
     """Read, merge, filter and print the events."""
     if not arguments.logs and not arguments.live:
-        raise console.Usage("no source is given; name a LOG or use --live HOST:PORT")
+        arguments.parser.error("no source is given; name a LOG or use --live HOST:PORT")
     found: list[events.Event] = []
     for path in arguments.logs:
-        found += _read_log(path)
+        found += _read_log(path, arguments.format)
     for where in arguments.live:
         found += _read_live(where)
     chosen = filters.Filter(
@@ -55,11 +54,9 @@
     timeline = filters.apply(merge.merge(found), chosen)
     if arguments.html is not None:
         _write(arguments.html, render_html.render(timeline))
-    elif arguments.format == "json":
-        print(render_text.render_json(timeline))
-    else:
-        print(render_text.render(timeline))
-    return console.EXIT_DONE
+        return console.EXIT_DONE
+    document, text = render_text.document(timeline), render_text.render(timeline)
+    return reports.show_report(reports.Report(document, text), arguments.format)
 
 
 def _time(text: str) -> float:
@@ -78,7 +75,7 @@
     return parsed.timestamp()
 
 
-def _read_log(path: str) -> list[events.Event]:
+def _read_log(path: str, output_format: str) -> list[events.Event]:
     try:
         with pathlib.Path(path).open("rb") as lines:
             found, unreadable = reading.from_log(lines)
@@ -87,11 +84,12 @@
             f"cannot read {path!r} ({error.strerror}); check its path and permissions"
         ) from None
     if unreadable:
-        print(f"jackdawpass: {path}: {unreadable} unreadable lines", file=sys.stderr)
+        message = f"{path}: left out {unreadable} unreadable lines; check the log"
+        reports.show_warning(message, output_format)
     return found
 
 
-def _read_live(where: tuple[str, int]) -> list[events.Event]:
+def _read_live(where: console.Address) -> list[events.Event]:
     found: list[events.Event] = []
     after = 0
     until: int | None = None
@@ -101,9 +99,8 @@
         try:
             page, after, last = reading.from_reply(reply.document)
         except ValueError:
-            host, port = where
             raise console.Failed(
-                f"{host}:{port} has no events (HTTP status {reply.status}); check that "
+                f"{where} has no events (HTTP status {reply.status}); check that "
                 "an entry instance listens there"
             ) from None
         found += page
--- a/jackdawpass/commands/version.py
+++ b/jackdawpass/commands/version.py
@@ -1,12 +1,11 @@
 """Command `version`: print the version of the product."""
 
 import argparse
-import json
 import platform
 import typing
 
 import jackdawpass
-from jackdawpass.commands import console
+from jackdawpass.commands import console, reports
 
 EXAMPLE = """example:
   jackdawpass version --format json
@@ -22,9 +21,7 @@
 
 def run(arguments: argparse.Namespace) -> int:
     """Print the versions of the product and of Python."""
-    if arguments.format == "json":
-        python = platform.python_version()
-        print(json.dumps({"version": jackdawpass.__version__, "python": python}))
-    else:
-        print(f"jackdawpass {jackdawpass.__version__}")
-    return console.EXIT_DONE
+    python = platform.python_version()
+    document = {"version": jackdawpass.__version__, "python": python}
+    report = reports.Report(document, f"jackdawpass {jackdawpass.__version__}")
+    return reports.show_report(report, arguments.format)
--- a/jackdawpass/timeline/render_text.py
+++ b/jackdawpass/timeline/render_text.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from jackdawpass.request import model
 from jackdawpass.timeline import merge
 
 
@@ -50,9 +51,9 @@
     return f"#{event.seq} " + " ".join(parts)
 
 
-def render_json(timeline: merge.Timeline) -> str:
-    """Return the time line as a JSON document."""
-    document = {
+def document(timeline: merge.Timeline) -> model.JsonObject:
+    """Return the time line as a document that JSON can express."""
+    return {
         "offsets_seconds": timeline.offsets,
         "in_cycles": timeline.in_cycles,
         "events": [
@@ -60,4 +61,3 @@
             for entry in timeline.entries
         ],
     }
-    return msgspec.json.format(msgspec.json.encode(document)).decode()
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -19,6 +19,7 @@
     "version",
     "stand-in",
     "demo",
+    "bench",
 )
 
 
@@ -68,6 +69,34 @@
     assert printed.count("\n") == 1
 
 
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ["status", "127.0.0.1:1", "127.0.0.1:2"],
+        ["drain", "127.0.0.1:1"],
+        ["query", "127.0.0.1:1", "lots", "offers"],
+        ["timeline", "/nonexistent"],
+        ["timeline", "--live", "127.0.0.1:1"],
+        ["entry", "--settings", "/nonexistent"],
+        ["entry", "--check", "--port", "x"],
+        ["config", "check", "/nonexistent"],
+        ["config", "apply", "overlay", "NORTH", "/nonexistent"],
+        ["index", "publish", "LOTS", "/nonexistent"],
+    ],
+)
+def test_failure_is_one_json_document_for_every_command(
+    arguments: list[str], capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against commands that answer a script in another form than the rest."""
+    assert cli.main([*arguments, "--format", "json"]) == 1
+    error = json.loads(capsys.readouterr().err)
+    assert error.keys() == {"error", "messages"}
+    assert error["messages"]
+    assert cli.main(arguments) == 1
+    lines = capsys.readouterr().err.splitlines()
+    assert lines == [f"error: {message}" for message in error["messages"]]
+
+
 def test_check_prints_settings_with_origins(
     capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -98,10 +127,12 @@
     refused = _run("query", address, "no", "offers")
     assert refused.returncode == 1
     assert "unknown_service (not_run)" in refused.stderr
+    refused = _run("query", address, "no", "offers", "--format", "json")
+    assert json.loads(refused.stderr)["problem"]["outcome"] == "not_run"
     status = json.loads(_run("status", address, "--format", "json").stdout)[0]
     assert status["configuration_version"] == 1
     assert (status["ready"], status["in_flight"]) == (True, 0)
-    assert status["counters"]["requests"] == 2
+    assert status["counters"]["requests"] == 3
     bad = rig.call("GET", entry.url + "/v1/events?after=-1")
     assert (bad.status, bad.document["kind"]) == (400, "malformed_request")
     live = _run("timeline", "--live", address, "--format", "json")
--- a/tests/timeline/test_render.py
+++ b/tests/timeline/test_render.py
@@ -23,6 +23,8 @@
 
 def test_json_holds_all_events() -> None:
     """Guards against a JSON output that other programs cannot read."""
-    document = json.loads(render_text.render_json(merge.merge(sample.two_instances())))
+    document = json.loads(
+        json.dumps(render_text.document(merge.merge(sample.two_instances())))
+    )
     assert len(document["events"]) == 19
     assert render_text.render(merge.merge([])) == "no events"
