Share one object store among the fake platforms of the tests

Three fakes each wrote conditional updates: the scripted one, the one answered call by call, and the delayed one of the conformance test, with three ways to count versions. fake_platform.Objects now stores for all of them, and the delayed platform is the client answered call by call, for one key. A write to a missing object is reported as ObjectMissing in all fakes, as by the platform stand-in.

The conformance test of the claim set claims.ACQUIRE_TRIES for the rest of its worker: running it before tests/request/test_claims.py failed one test there, also before this change. Its fixture now restores the values; that order passes.

--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -1,6 +1,7 @@
 """In-memory platform store whose calls can lose replies, drop writes or fail."""
 
 import collections
+import collections.abc
 import typing
 
 import msgspec
@@ -10,6 +11,55 @@
 from jackdawpass import errors
 from jackdawpass.connection import platform_api
 
+# The expected version of an object that a write creates.
+ABSENT = 0
+
+
+def uncertain(reason: str) -> "result.Result[typing.Any, errors.PlatformError]":
+    """Return the outcome of a write that may or may not have taken effect."""
+    return result.Failure(errors.PlatformUnavailable(reason, uncertain=True))
+
+
+class Objects:
+    """Objects whose versions count the writes of each key from 1."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, tuple[int, typing.Any]] = {}
+        self._writes: collections.Counter[str] = collections.Counter()
+
+    def read(self, key: str) -> platform_api.ReadResult:
+        """Read an object."""
+        if key not in self.objects:
+            return result.Failure(errors.ObjectMissing(key))
+        return result.Success(platform_api.StoredObject(key, *self.objects[key]))
+
+    def write(self, key: str, expected: int, value: object) -> platform_api.WriteResult:
+        """Write an object on condition of its version, as JSON would carry it."""
+        refused = self._refusal(key, expected)
+        if refused is not None:
+            return result.Failure(refused)
+        self._writes[key] += 1
+        plain = msgspec.json.decode(msgspec.json.encode(value))
+        self.objects[key] = (self._writes[key], plain)
+        return result.Success(self._writes[key])
+
+    def delete(self, key: str, expected: int) -> platform_api.WriteResult:
+        """Delete an object on condition of its version."""
+        refused = self._refusal(key, expected)
+        if refused is not None:
+            return result.Failure(refused)
+        self._writes[key] += 1
+        del self.objects[key]
+        return result.Success(self._writes[key])
+
+    def _refusal(self, key: str, expected: int) -> errors.PlatformError | None:
+        version = self.objects[key][0] if key in self.objects else ABSENT
+        if version == expected:
+            return None
+        if version == ABSENT:
+            return errors.ObjectMissing(key)
+        return errors.VersionConflict(key)
+
 
 class FakePlatform:
     """A `PlatformApi` that answers at once.
@@ -19,11 +69,15 @@
     """
 
     def __init__(self) -> None:
-        self.objects: dict[str, tuple[int, typing.Any]] = {}
         self.script: collections.deque[str] = collections.deque()
         self.calls: collections.Counter[str] = collections.Counter()
         self.listed: tuple[platform_api.ListedInstance, ...] = ()
-        self._version = 0
+        self._store = Objects()
+
+    @property
+    def objects(self) -> dict[str, tuple[int, typing.Any]]:
+        """Version and value of each object."""
+        return self._store.objects
 
     def read(self, key: str) -> defer.Deferred[platform_api.ReadResult]:
         return defer.succeed(self._read(key))
@@ -40,17 +94,17 @@
     def create(
         self, key: str, value: object
     ) -> defer.Deferred[platform_api.WriteResult]:
-        return defer.succeed(self._write("create", key, None, value))
+        return self._write("create", lambda: self._store.write(key, ABSENT, value))
 
     def update(
         self, key: str, version: int, value: object
     ) -> defer.Deferred[platform_api.WriteResult]:
-        return defer.succeed(self._write("update", key, version, value))
+        return self._write("update", lambda: self._store.write(key, version, value))
 
     def delete(
         self, key: str, version: int
     ) -> defer.Deferred[platform_api.WriteResult]:
-        return defer.succeed(self._write("delete", key, version, None))
+        return self._write("delete", lambda: self._store.delete(key, version))
 
     def instances(self) -> defer.Deferred[platform_api.ListResult]:
         self.calls["list"] += 1
@@ -60,39 +114,19 @@
         self.calls["read"] += 1
         if self._fate() != "ok":
             return result.Failure(errors.PlatformUnavailable("down"))
-        if key not in self.objects:
-            return result.Failure(errors.ObjectMissing(key))
-        return result.Success(platform_api.StoredObject(key, *self.objects[key]))
+        return self._store.read(key)
 
     def _write(
-        self, kind: str, key: str, version: int | None, value: object
-    ) -> platform_api.WriteResult:
+        self,
+        kind: str,
+        apply: collections.abc.Callable[[], platform_api.WriteResult],
+    ) -> defer.Deferred[platform_api.WriteResult]:
         self.calls[kind] += 1
         fate = self._fate()
         if fate in ("down", "dropped"):
-            return result.Failure(errors.PlatformUnavailable(fate, uncertain=True))
-        written = self._apply(kind, key, version, value)
-        if fate == "lost":
-            return result.Failure(errors.PlatformUnavailable("lost", uncertain=True))
-        return written
-
-    def _apply(
-        self, kind: str, key: str, version: int | None, value: object
-    ) -> platform_api.WriteResult:
-        current = self.objects.get(key)
-        if kind == "create" and current is not None:
-            return result.Failure(errors.VersionConflict(key))
-        if kind != "create" and current is None:
-            return result.Failure(errors.ObjectMissing(key))
-        if kind != "create" and current is not None and current[0] != version:
-            return result.Failure(errors.VersionConflict(key))
-        self._version += 1
-        if kind == "delete":
-            del self.objects[key]
-        else:
-            plain = msgspec.json.decode(msgspec.json.encode(value))
-            self.objects[key] = (self._version, plain)
-        return result.Success(self._version)
+            return defer.succeed(uncertain(fate))
+        written = apply()
+        return defer.succeed(uncertain(fate) if fate == "lost" else written)
 
     def _fate(self) -> str:
         return self.script.popleft() if self.script else "ok"
--- a/tests/process/fake_platform.py
+++ b/tests/process/fake_platform.py
@@ -7,26 +7,38 @@
 from returns import result
 from twisted.internet import defer
 
-from jackdawpass import errors
 from jackdawpass.connection import platform_api
 from jackdawpass.process import pace
 from jackdawpass.version import parts
+from tests import fake_platform
 
-LOST = errors.PlatformUnavailable("lost", uncertain=True)
+LOST = fake_platform.uncertain("lost")
 
 
 @dataclasses.dataclass(eq=False)
 class Call:
-    """A call that has not been answered yet."""
+    """A call that has not been answered yet.
+
+    Attributes
+    ----------
+    expected : int or None
+        Version on which a write is conditional, 0 to create; None for a read.
+    """
 
     client: str
     key: str
-    is_write: bool
+    expected: int | None
+    value: typing.Any
     apply: collections.abc.Callable[[], typing.Any]
     reply: defer.Deferred[typing.Any] = dataclasses.field(
         default_factory=defer.Deferred
     )
 
+    @property
+    def is_write(self) -> bool:
+        """True for a write."""
+        return self.expected is not None
+
     def answer(self) -> None:
         """Perform the call and reply."""
         self.reply.callback(self.apply())
@@ -34,46 +46,39 @@
     def lose_reply(self) -> None:
         """Perform the call, but report an uncertain outcome."""
         self.apply()
-        self.reply.callback(result.Failure(LOST))
+        self.drop()
 
     def drop(self) -> None:
         """Report an uncertain outcome without performing the call."""
-        self.reply.callback(result.Failure(LOST))
+        self.reply.callback(LOST)
 
 
-class Store:
+class Store(fake_platform.Objects):
     """Objects with versions, the calls under way and every accepted head."""
 
     def __init__(self) -> None:
-        self.objects: dict[str, tuple[int, typing.Any]] = {}
+        super().__init__()
         self.calls: list[Call] = []
         self.accepted: list[tuple[str, parts.Head]] = []
         self.on_call: collections.abc.Callable[[Call], None] = self.calls.append
         self.first_seen: dict[str, int] = {}
-        self._writes = 0
-
-    def write(
-        self, client: str, key: str, expected: int, value: typing.Any
-    ) -> typing.Any:
-        """Write conditionally; version 0 stands for an absent object."""
-        if self.objects.get(key, (0, None))[0] != expected:
-            return result.Failure(errors.VersionConflict(key))
-        self._writes += 1
-        self.objects[key] = (self._writes, value)
-        if key == parts.HEAD_KEY:
+
+    def write_by(
+        self, client: str, key: str, expected: int, value: object
+    ) -> platform_api.WriteResult:
+        """Write conditionally, and note the head that a client made."""
+        written = self.write(key, expected, value)
+        if key == parts.HEAD_KEY and isinstance(written, result.Success):
             head = parts.parse_head(value)
             assert head is not None
             self.accepted.append((client, head))
-        return result.Success(self._writes)
+        return written
 
-    def read(self, client: str, key: str) -> typing.Any:
+    def read_by(self, client: str, key: str) -> platform_api.ReadResult:
         """Read an object, and note the head version that a client saw first."""
         if key == parts.HEAD_KEY:
             self.first_seen.setdefault(client, len(self.accepted))
-        if key not in self.objects:
-            return result.Failure(errors.ObjectMissing(key))
-        version, value = self.objects[key]
-        return result.Success(platform_api.StoredObject(key, version, value))
+        return self.read(key)
 
 
 class Client:
@@ -83,38 +88,50 @@
         self._store = store
         self._name = name
 
-    def read(self, key: str) -> defer.Deferred[typing.Any]:
-        return self._call(key, False, lambda: self._store.read(self._name, key))
+    def read(self, key: str) -> defer.Deferred[platform_api.ReadResult]:
+        return self._call(key, None, None, lambda: self._store.read_by(self._name, key))
 
-    def create(self, key: str, value: object) -> defer.Deferred[typing.Any]:
-        return self.update(key, 0, value)
+    def create(
+        self, key: str, value: object
+    ) -> defer.Deferred[platform_api.WriteResult]:
+        return self.update(key, fake_platform.ABSENT, value)
 
     def update(
         self, key: str, version: int, value: object
-    ) -> defer.Deferred[typing.Any]:
+    ) -> defer.Deferred[platform_api.WriteResult]:
         return self._call(
-            key, True, lambda: self._store.write(self._name, key, version, value)
+            key,
+            version,
+            value,
+            lambda: self._store.write_by(self._name, key, version, value),
         )
 
     def watch(
         self, key: str, version: int, timeout: float
-    ) -> defer.Deferred[typing.Any]:
+    ) -> defer.Deferred[platform_api.WatchResult]:
         raise NotImplementedError
 
-    def delete(self, key: str, version: int) -> defer.Deferred[typing.Any]:
+    def delete(
+        self, key: str, version: int
+    ) -> defer.Deferred[platform_api.WriteResult]:
         raise NotImplementedError
 
-    def instances(self) -> defer.Deferred[typing.Any]:
+    def instances(self) -> defer.Deferred[platform_api.ListResult]:
         raise NotImplementedError
 
+    def begin(self, call: Call) -> None:
+        """Take a new call; the store decides when it is answered."""
+        self._store.on_call(call)
+
     def _call(
         self,
         key: str,
-        is_write: bool,
+        expected: int | None,
+        value: typing.Any,
         apply: collections.abc.Callable[[], typing.Any],
     ) -> defer.Deferred[typing.Any]:
-        call = Call(self._name, key, is_write, apply)
-        self._store.on_call(call)
+        call = Call(self._name, key, expected, value, apply)
+        self.begin(call)
         return call.reply
 
 
--- a/tests/specs/delayed_platform.py
+++ b/tests/specs/delayed_platform.py
@@ -1,107 +1,79 @@
 """Platform store in which a test decides when each call takes effect and answers."""
 
-import dataclasses
-import typing
-
-import msgspec
 from returns import result
-from twisted.internet import defer
 
 from jackdawpass import errors
-from jackdawpass.connection import platform_api
-
-
-class SharedStore:
-    """Objects with versions that count the writes of each object from 1."""
-
-    def __init__(self) -> None:
-        self.objects: dict[str, tuple[int, typing.Any]] = {}
-
-    def read(self, key: str) -> platform_api.ReadResult:
-        if key not in self.objects:
-            return result.Failure(errors.ObjectMissing(key))
-        return result.Success(platform_api.StoredObject(key, *self.objects[key]))
-
-    def apply(self, write: "Write") -> platform_api.WriteResult:
-        version = self.objects[write.key][0] if write.key in self.objects else 0
-        if version != write.expected:
-            return result.Failure(errors.VersionConflict(write.key))
-        self.objects[write.key] = (version + 1, write.value)
-        return result.Success(version + 1)
-
-
-@dataclasses.dataclass(eq=False)
-class Write:
-    """A write on its way; `expected` 0 creates."""
-
-    key: str
-    expected: int
-    value: typing.Any
-    reply: "defer.Deferred[platform_api.WriteResult]"
-
-
-class DelayedPlatform:
-    """The platform as one process sees it; at most one call waits for a reply."""
-
-    def __init__(self, store: SharedStore) -> None:
-        self._store = store
-        self.flying: list[Write] = []
-        self.writing: Write | None = None
-        self.reading: tuple[str, defer.Deferred[platform_api.ReadResult]] | None = None
-
-    def create(
-        self, key: str, value: object
-    ) -> defer.Deferred[platform_api.WriteResult]:
-        return self.update(key, 0, value)
-
-    def update(
-        self, key: str, version: int, value: object
-    ) -> defer.Deferred[platform_api.WriteResult]:
-        plain = msgspec.json.decode(msgspec.json.encode(value))
-        self.writing = Write(key, version, plain, defer.Deferred())
-        self.flying.append(self.writing)
-        return self.writing.reply
-
-    def read(self, key: str) -> defer.Deferred[platform_api.ReadResult]:
-        self.reading = (key, defer.Deferred())
-        return self.reading[1]
-
-    def watch(
-        self, key: str, version: int, timeout: float
-    ) -> defer.Deferred[platform_api.WatchResult]:
-        raise NotImplementedError
-
-    def delete(
-        self, key: str, version: int
-    ) -> defer.Deferred[platform_api.WriteResult]:
-        raise NotImplementedError
-
-    def instances(self) -> defer.Deferred[platform_api.ListResult]:
-        raise NotImplementedError
-
-    def land(self, write: Write, reply: bool) -> None:
+from tests.process import fake_platform
+
+
+class DelayedPlatform(fake_platform.Client):
+    """The platform as one process sees it; at most one call waits for a reply.
+
+    Calls for other keys than `key` are steps that a specification leaves out; they
+    succeed at once.
+
+    Attributes
+    ----------
+    flying : list of Call
+        Writes on their way, which include those whose process waits no longer.
+    writing, reading : Call or None
+        The call that waits for a reply.
+    """
+
+    def __init__(self, store: fake_platform.Store, name: str, key: str) -> None:
+        super().__init__(store, name)
+        self._key = key
+        self.flying: list[fake_platform.Call] = []
+        self.writing: fake_platform.Call | None = None
+        self.reading: fake_platform.Call | None = None
+
+    def begin(self, call: fake_platform.Call) -> None:
+        """Let the test decide about a call for the key."""
+        if call.key != self._key:
+            call.answer()
+        elif call.is_write:
+            self.writing = call
+            self.flying.append(call)
+        else:
+            self.reading = call
+
+    def land(self, write: fake_platform.Call, reply: bool) -> None:
         """Let a write reach the store, and its reply reach the process."""
         self.flying.remove(write)
-        outcome = self._store.apply(write)
+        outcome = write.apply()
         if reply:
             assert write is self.writing
             self.writing = None
             write.reply.callback(outcome)
 
-    def drop(self, write: Write) -> None:
-        """Lose a write on its way."""
+    def lose(self, write: fake_platform.Call) -> None:
+        """Lose a write on its way; its process still waits for the reply."""
         self.flying.remove(write)
 
+    def choose(
+        self, matching: list[fake_platform.Call], replies: bool
+    ) -> fake_platform.Call:
+        """Return the write that a step is about, of writes that look the same.
+
+        A reply belongs to the write that waits; a late write has none.
+        """
+        if replies and self.writing in matching:
+            return self.writing
+        if not replies and len(matching) > 1:
+            return next(each for each in matching if each is not self.writing)
+        return matching[0]
+
     def lose_reply(self) -> None:
         """Tell the process that its write has an unknown effect."""
         write, self.writing = self.writing, None
         assert write is not None
-        lost = errors.PlatformUnavailable("lost", uncertain=True)
-        write.reply.callback(result.Failure(lost))
+        write.drop()
 
     def answer_read(self, ok: bool = True) -> None:
         """Answer the read that waits."""
-        assert self.reading is not None
-        (key, reply), self.reading = self.reading, None
-        failed = result.Failure(errors.PlatformUnavailable("down"))
-        reply.callback(self._store.read(key) if ok else failed)
+        read, self.reading = self.reading, None
+        assert read is not None
+        if ok:
+            read.answer()
+        else:
+            read.reply.callback(result.Failure(errors.PlatformUnavailable("down")))
--- a/tests/specs/test_claim_conformance.py
+++ b/tests/specs/test_claim_conformance.py
@@ -1,5 +1,7 @@
 """Drives the claim code through arbitrary behaviours of its specification."""
 
+import collections.abc
+
 import hypothesis
 import pytest
 from hypothesis import strategies as st
@@ -7,6 +9,7 @@
 
 from jackdawpass.request import claims, model
 from specs import claim as spec
+from tests.process import fake_platform
 from tests.specs import delayed_platform
 
 KEY = claims.object_key("lots", "order-1")
@@ -21,9 +24,9 @@
 class RealProcess:
     """One process that runs the code under test."""
 
-    def __init__(self, number: int, store: delayed_platform.SharedStore) -> None:
-        self.platform = delayed_platform.DelayedPlatform(store)
+    def __init__(self, number: int, store: fake_platform.Store) -> None:
         self.writer = str(number)
+        self.platform = delayed_platform.DelayedPlatform(store, self.writer, KEY)
         self.acquired: list[claims.Acquired] = []
         self.recorded: list[bool] = []
         self.crashed = False
@@ -67,21 +70,17 @@
         )
 
     def _land(self, label: str, landed: spec.Write) -> None:
-        # A reply belongs to the write that waits; a late write has none.
         matching = [each for each in self.platform.flying if _as_spec(each) == landed]
-        waiting = self.platform.writing
         replies = label in ("apply_and_reply", "apply_record", "conflict")
-        if replies and waiting in matching:
-            matching = [waiting]
-        elif not replies and len(matching) > 1:
-            matching = [each for each in matching if each is not waiting]
+        write = self.platform.choose(matching, replies)
         if label == "drop":
-            self.platform.drop(matching[0])
+            self.platform.lose(write)
         else:
-            self.platform.land(matching[0], reply=replies)
+            self.platform.land(write, reply=replies)
 
 
-def _as_spec(write: delayed_platform.Write) -> spec.Write:
+def _as_spec(write: fake_platform.Call) -> spec.Write:
+    assert write.expected is not None
     return spec.Write(write.expected, write.value["state"])
 
 
@@ -98,7 +97,7 @@
 
 def _compare(
     state: spec.State,
-    store: delayed_platform.SharedStore,
+    store: fake_platform.Store,
     real: list[RealProcess],
 ) -> None:
     if state.store.version == 0:
@@ -137,10 +136,12 @@
 
 
 @pytest.fixture(scope="module", autouse=True)
-def bounded_tries() -> None:
+def bounded_tries() -> collections.abc.Iterator[None]:
     """Use the specification's bounds, so that both take the same steps."""
-    claims.ACQUIRE_TRIES = spec.CREATE_TRIES
-    claims.RECORD_TRIES = 1
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(claims, "ACQUIRE_TRIES", spec.CREATE_TRIES)
+        patch.setattr(claims, "RECORD_TRIES", 1)
+        yield
 
 
 @hypothesis.settings(max_examples=600, deadline=None, derandomize=True)
@@ -148,7 +149,7 @@
 def test_claim_code_takes_the_steps_of_its_specification(data: st.DataObject) -> None:
     """Guards against code that differs from the protocol that was checked."""
     state = spec.State(spec.Store(), (spec.Process(),) * PROCESSES)
-    store = delayed_platform.SharedStore()
+    store = fake_platform.Store()
     real = [RealProcess(number, store) for number in range(PROCESSES)]
     for _ in range(data.draw(st.integers(1, 25))):
         steps = spec.transitions(state)
