--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -100,6 +100,41 @@
         "if True:",
         "tests/failures/test_at_most_once.py",
     ),
+    Mutation(
+        "a commit is told truly",
+        "jackdawpass/process/store.py",
+        "self._uncertain = True",
+        "pass",
+        "tests/specs/test_commit_conformance.py",
+    ),
+    Mutation(
+        "a commit is told truly",
+        "jackdawpass/process/store.py",
+        "if found.unwrap().writer == self._writer:",
+        "if True:",
+        "tests/specs/test_commit_conformance.py",
+    ),
+    Mutation(
+        "a commit is told truly",
+        "jackdawpass/process/store.py",
+        "if not self._uncertain or self._tried is None:",
+        "if True:",
+        "tests/specs/test_commit_conformance.py",
+    ),
+    Mutation(
+        "a commit is told truly",
+        "jackdawpass/process/store.py",
+        "            return found\n        self._uncertain = False",
+        "            return found",
+        "tests/specs/test_commit_conformance.py",
+    ),
+    Mutation(
+        "a commit is told truly",
+        "jackdawpass/process/store.py",
+        "        if self._uncertain:\n            return self._doubt(reason)\n",
+        "",
+        "tests/specs/test_commit_conformance.py",
+    ),
 )
 
 
