--- a/jackdawpass/checked.py
+++ b/jackdawpass/checked.py
@@ -93,6 +93,9 @@
         for name in sorted(value.keys() - fields.keys(), key=str):
             yield _unknown_key(path, str(name), tuple(fields))
         for name, field in fields.items():
+            # An empty default means that the text may be left out, also as "".
+            if name in value and value[name] == field.default == "":
+                continue
             if name in value:
                 allowed = self._ranges.of(owner, name)
                 member = join(path, name)
--- a/jackdawpass/commands/stand_in.py
+++ b/jackdawpass/commands/stand_in.py
@@ -31,7 +31,11 @@
     """Run a stand-in until it is killed."""
     from twisted.internet import reactor
 
-    print(json.dumps(_listen(reactor, arguments)), flush=True)
+    try:
+        listening = _listen(reactor, arguments)
+    except msgspec.MsgspecError as error:
+        arguments.parser.error(f"--options cannot be used ({error}); correct the JSON")
+    print(json.dumps(listening), flush=True)
     reactor.run()
     return 0
 
--- a/jackdawpass/process/metrics.py
+++ b/jackdawpass/process/metrics.py
@@ -138,7 +138,9 @@
         try:
             socket.inet_aton(host)
         except OSError:
-            raise ValueError(f"{host!r} is not an IPv4 address") from None
+            raise ValueError(
+                f"{host!r} is not an IPv4 address; use one such as 127.0.0.1"
+            ) from None
         self._client = _Client(host, port, prefix)
 
     @property
--- a/jackdawpass/process/settings.py
+++ b/jackdawpass/process/settings.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import ipaddress
 import json
 import typing
 
@@ -178,7 +179,7 @@
     faults: list[errors.Fault],
 ) -> Loaded:
     faults.extend(checked.check(document, EntrySettings, RANGES))
-    faults.extend(_url_faults(document.get("platform_url")))
+    faults.extend(_text_faults(document))
     if faults:
         return _failure(_with_origins(faults, origins))
     structured = cattrs.structure(document, EntrySettings)
@@ -201,10 +202,29 @@
     return result.Failure(errors.InvalidConfiguration(tuple(faults)))
 
 
-def _url_faults(value: object) -> typing.Iterator[errors.Fault]:
-    # A missing, empty or mistyped URL is reported by the check of the fields.
-    if not isinstance(value, str) or not value:
-        return
-    if not value.startswith(("http://", "https://")):
+def _text_faults(document: dict[str, typing.Any]) -> typing.Iterator[errors.Fault]:
+    # Missing, empty and mistyped values are reported by the check of the fields.
+    texts = {
+        name: text for name, text in document.items() if text and type(text) is str
+    }
+    url = texts.get("platform_url", "http://")
+    if not url.startswith(("http://", "https://")):
         remedy = "use http://HOST:PORT"
         yield errors.Fault("platform_url", "is not an HTTP URL", remedy)
+    # The zone is sent as a header in each call of a target.
+    zone = texts.get("zone", "")
+    if not zone.isascii() or not zone.isprintable():
+        remedy = "use printable ASCII characters"
+        yield errors.Fault("zone", f"{zone!r} cannot be sent in a header", remedy)
+    if not _is_ipv4(texts.get("statsd_host", "127.0.0.1")):
+        # Looking a name up could block the event loop.
+        remedy = "use an address such as 127.0.0.1"
+        yield errors.Fault("statsd_host", "is not an IPv4 address", remedy)
+
+
+def _is_ipv4(text: str) -> bool:
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -47,6 +47,8 @@
         (["timeline"], 2, "name a LOG"),
         (["timeline", "/nonexistent"], 1, "check its path"),
         (["timeline", "x", "--since", "soon"], 2, "is not a time"),
+        (["stand-in", "target", "--options", "{"], 2, "correct the JSON"),
+        (["stand-in", "target", "--options", '{"name": 1}'], 2, "correct the JSON"),
         (["status", "127.0.0.1:1"], 1, "check the address"),
         (["drain", "127.0.0.1:1"], 1, "check the address"),
         (["entry", "--settings", "/nonexistent"], 1, "check its path"),
--- a/tests/process/test_settings.py
+++ b/tests/process/test_settings.py
@@ -50,6 +50,10 @@
     loaded = settings.load(TEXT, "e.json", {}, flags)
     paths = [fault.path.split(" ")[0] for fault in loaded.failure().faults]
     assert sorted(paths) == ["log_share", "platform_url", "port", "zone"]
+    flags = {"statsd_host": "localhost", "zone": "a\r\nX: y"}
+    loaded = settings.load(TEXT, "e.json", {}, flags)
+    paths = [fault.path.split(" ")[0] for fault in loaded.failure().faults]
+    assert sorted(paths) == ["statsd_host", "zone"]
     for text in ("{", "[]", "3"):
         assert isinstance(settings.parse(text), result.Failure)
 
