--- a/tests/rig.py
+++ b/tests/rig.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import json
+import pathlib
 import signal
 import subprocess
 import sys
@@ -9,6 +10,7 @@
 import time
 import typing
 
+from jackdawpass.bench import fleet
 from jackdawpass.connection import blocking
 from jackdawpass.version import parts
 
@@ -90,6 +92,7 @@
 
     def __init__(self) -> None:
         self._processes: list[Process] = []
+        self._clusters: list[fleet.Cluster] = []
         self.platform = self.start("stand-in", "platform")
         self.targets: dict[str, Process] = {}
 
@@ -101,9 +104,18 @@
 
     def close(self) -> None:
         """Kill all processes."""
+        for each in self._clusters:
+            each.close()
         for process in reversed(self._processes):
             process.stop()
 
+    def add_cluster(self, directory: pathlib.Path, count: int) -> fleet.Cluster:
+        """Start linked instances in three zones behind a relay."""
+        started = fleet.Cluster(self.platform.url, directory)
+        self._clusters.append(started)
+        started.start(count)
+        return started
+
     def add_target(self, name: str, **options: typing.Any) -> Process:
         """Start a target stand-in."""
         text = json.dumps({"name": name, **options})
