Name the members of results that were bare tuples

Rows per second of a run, the content of a log, a page of events, and the head with its contents were tuples that each caller took apart by position; they are data classes now.

--- a/jackdawpass/bench/control_cost.py
+++ b/jackdawpass/bench/control_cost.py
@@ -17,6 +17,7 @@
 import typing
 
 from jackdawpass.bench import fleet
+from jackdawpass.connection import blocking
 from jackdawpass.version import parts
 
 SIZES = (5, 10, 20, 40)
@@ -201,7 +202,9 @@
     time.sleep(CUT_SECONDS)
     seconds = measure_change(instances, others)
     kept = all(each.status["in_force"] == before for each in cut)
-    ready = all(fleet.call("GET", f"{each.url}/readyz")[0] == 200 for each in cut)
+    ready = all(
+        blocking.call("GET", f"{each.url}/readyz").status == 200 for each in cut
+    )
     healed_at = time.monotonic()
     instances.heal()
     instances.wait_in_force(TIMEOUT_SECONDS, cut)
--- a/jackdawpass/bench/fleet.py
+++ b/jackdawpass/bench/fleet.py
@@ -11,14 +11,12 @@
 import threading
 import time
 import typing
-import urllib.error
-import urllib.request
 
 from jackdawpass.bench import relay
+from jackdawpass.connection import blocking
 from jackdawpass.version import parts
 
 ZONES = ("a", "b", "c")
-CALL_TIMEOUT_SECONDS = 10.0
 POLL_SECONDS = 0.05
 
 _CALLER_HOST = "127.0.0.1"
@@ -27,24 +25,6 @@
 _ZONE_HOSTS = {"a": "127.1.0.1", "b": "127.2.0.1", "c": "127.3.0.1"}
 
 
-def call(
-    method: str,
-    url: str,
-    document: object = None,
-    headers: collections.abc.Mapping[str, str] | None = None,
-) -> tuple[int, typing.Any]:
-    """Make one HTTP call; return its status and its decoded JSON reply."""
-    body = None if document is None else json.dumps(document).encode()
-    request = urllib.request.Request(
-        url, data=body, method=method, headers=dict(headers or {})
-    )
-    try:
-        with urllib.request.urlopen(request, timeout=CALL_TIMEOUT_SECONDS) as reply:
-            return reply.status, json.loads(reply.read() or b"null")
-    except urllib.error.HTTPError as error:
-        return error.code, json.loads(error.read() or b"null")
-
-
 def wait_for(
     condition: collections.abc.Callable[[], bool], what: str, timeout: float
 ) -> None:
@@ -70,7 +50,8 @@
     @property
     def status(self) -> dict[str, typing.Any]:
         """Reply of ``/v1/control``."""
-        document: dict[str, typing.Any] = call("GET", f"{self.url}/v1/control")[1]
+        reply = blocking.call("GET", f"{self.url}/v1/control")
+        document: dict[str, typing.Any] = reply.document
         return document
 
 
@@ -134,11 +115,11 @@
             for each in self._instances.values()
         ]
         document = {"instances": [*listed, *targets]}
-        call("POST", f"{self._platform_url}/control/instances", document)
+        blocking.call("POST", f"{self._platform_url}/control/instances", document)
 
     def faults(self, **faults: typing.Any) -> None:
         """Induce faults in the platform; faults not named end."""
-        call("POST", f"{self._platform_url}/control/faults", faults)
+        blocking.call("POST", f"{self._platform_url}/control/faults", faults)
 
     def cut_zone(self, zone: str) -> None:
         """Cut a zone from the other zones and from the platform."""
@@ -157,22 +138,23 @@
     def commit(self, changes: collections.abc.Mapping[str, bytes]) -> None:
         """Commit changed parts straight into the platform stand-in."""
         url = f"{self._platform_url}/v1/objects"
-        status, stored = call("GET", f"{url}/head")
-        named = dict(stored["value"]["parts"]) if status == 200 else {}
+        stored = blocking.call("GET", f"{url}/head")
+        exists = stored.status == 200
+        named = dict(stored.document["value"]["parts"]) if exists else {}
         for name, content in changes.items():
             named[name] = parts.address(content)
             for chunk in parts.split_content(content):
                 address = f"{url}/{parts.CHUNK_PREFIX}{parts.chunk_hash(chunk)}"
-                call("PUT", address, json.loads(chunk), {"If-None-Match": "*"})
+                blocking.call("PUT", address, json.loads(chunk), {"If-None-Match": "*"})
         self._version += 1
         head = parts.Head(self._version, f"cluster-{self._version}", "", named)
         headers = {"If-None-Match": "*"}
-        if status == 200:
-            headers = {"If-Match": str(stored["version"])}
+        if exists:
+            headers = {"If-Match": str(stored.document["version"])}
         document = parts.head_document(head)
-        written, _ = call("PUT", f"{url}/head", document, headers)
-        if written not in (200, 201):
-            raise RuntimeError(f"commit of version {self._version}: status {written}")
+        written = blocking.call("PUT", f"{url}/head", document, headers)
+        if written.status not in (200, 201):
+            raise RuntimeError(f"commit of version {self._version}: {written}")
 
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to an instance."""
--- a/jackdawpass/bench/measure.py
+++ b/jackdawpass/bench/measure.py
@@ -1,8 +1,10 @@
 """The three measures of a window of time, as pure functions of a record."""
 
+import collections
 import collections.abc
 import dataclasses
 import math
+import typing
 
 import hdrh.histogram
 
@@ -11,6 +13,8 @@
 HIGHEST_MICROSECONDS = 600_000_000
 SIGNIFICANT_DIGITS = 3
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+# A second whose 99th percentile exceeds this multiple of the steady one is slow.
+SLOW_SECOND_RATIO = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +54,26 @@
     outcomes: dict[str, int]
 
 
+class Second(typing.NamedTuple):
+    """What callers saw of the queries that were to start in one second of a run.
+
+    A tuple, since results list these rows as JSON arrays.
+
+    Attributes
+    ----------
+    begin : float
+        Seconds from the start of the run.
+    p99_ms : float
+        99th percentile of the latency in milliseconds.
+    coverage : float
+        Mean covered share of shards.
+    """
+
+    begin: float
+    p99_ms: float
+    coverage: float
+
+
 def select(record: load.Record, window: Window) -> list[int]:
     """Return the positions of the queries that were to start in a window."""
     return [
@@ -111,10 +135,8 @@
     return joined
 
 
-def per_second(
-    record: load.Record, seconds: float, timeout_ms: float
-) -> list[tuple[float, float, float]]:
-    """Return start, 99th percentile in ms and mean coverage of each second."""
+def per_second(record: load.Record, seconds: float, timeout_ms: float) -> list[Second]:
+    """Return the measures of each second in which queries were to start."""
     rows = []
     for begin in range(math.ceil(seconds)):
         positions = select(record, Window("", begin, begin + 1))
@@ -122,20 +144,21 @@
             counts = histogram(record, positions, timeout_ms)
             p99 = counts.get_value_at_percentile(99.0) / 1000
             covered = sum(_coverage(record, each) for each in positions)
-            rows.append((float(begin), p99, covered / len(positions)))
+            rows.append(Second(float(begin), p99, covered / len(positions)))
     return rows
 
 
 def recovery_seconds(
-    rows: collections.abc.Iterable[tuple[float, float, float]],
+    rows: collections.abc.Iterable[Second],
     after: float,
     steady_p99_ms: float,
 ) -> float:
     """Return the seconds from `after` to the end of the last slow second.
 
-    A second is slow while its 99th percentile exceeds 1.5 times the steady one.
+    Both are in seconds from the start of the run.
     """
-    slow = [begin for begin, p99, _ in rows if p99 > 1.5 * steady_p99_ms]
+    limit_ms = SLOW_SECOND_RATIO * steady_p99_ms
+    slow = [row.begin for row in rows if row.p99_ms > limit_ms]
     return max([begin + 1 - after for begin in slow if begin >= after], default=0.0)
 
 
--- a/jackdawpass/bench/plots.py
+++ b/jackdawpass/bench/plots.py
@@ -27,9 +27,9 @@
     for policy in cluster.POLICIES:
         _plot_percentiles(axes[0][0], policy, chosen, results)
         rows = summary[policy]["per_second"]
-        starts = [row[0] for row in rows]
-        axes[0][1].plot(starts, [row[1] for row in rows], label=policy)
-        axes[1][0].plot(starts, [row[2] * 100 for row in rows], label=policy)
+        starts = [row.begin for row in rows]
+        axes[0][1].plot(starts, [row.p99_ms for row in rows], label=policy)
+        axes[1][0].plot(starts, [row.coverage * 100 for row in rows], label=policy)
     extra = [summary[policy]["extra_load"] * 100 for policy in cluster.POLICIES]
     axes[1][1].bar(cluster.POLICIES, extra)
     _label(axes[0][0], "percentile", "latency, ms")
--- a/jackdawpass/bench/runner.py
+++ b/jackdawpass/bench/runner.py
@@ -97,35 +97,41 @@
     chosen: experiment.Experiment, results: list[RoundResult]
 ) -> dict[str, typing.Any]:
     """Return the measures of each policy over all of its rounds."""
-    summary = {}
+    return {
+        policy: _summarize_policy(
+            chosen, [result for result in results if result.policy == policy]
+        )
+        for policy in cluster.POLICIES
+    }
+
+
+def _summarize_policy(
+    chosen: experiment.Experiment, rounds: list[RoundResult]
+) -> dict[str, typing.Any]:
     timeout_ms = chosen.sizes.timeout_ms
-    for policy in cluster.POLICIES:
-        mine = [result for result in results if result.policy == policy]
-        records = [result.record for result in mine]
-        joined = measure.join(records)
-        windows = {
-            window.name: dataclasses.asdict(
-                measure.summarize(records, window, timeout_ms)
-            )
-            for window in chosen.windows
-        }
-        received = sum(result.received for result in mine)
-        queries = len(joined.starts)
-        rows = measure.per_second(joined, chosen.seconds, timeout_ms)
-        summary[policy] = {
-            "windows": windows,
-            "received": received,
-            "extra_load": measure.extra_load(received, queries, chosen.sizes.shards),
-            "entry_cpu_ms_per_query": _per_query_ms(mine, queries),
-            "generator_lag_ms_max": max(joined.lags_ms, default=0.0),
-            "per_second": rows,
-            "notes": [result.notes for result in mine],
-        }
-        if chosen.recovers_after is not None:
-            steady = windows[chosen.windows[0].name]["latency_ms"]["p99"]
-            summary[policy]["recovery_seconds"] = measure.recovery_seconds(
-                rows, chosen.recovers_after, steady
-            )
+    records = [each.record for each in rounds]
+    joined = measure.join(records)
+    windows = {
+        window.name: dataclasses.asdict(measure.summarize(records, window, timeout_ms))
+        for window in chosen.windows
+    }
+    received = sum(each.received for each in rounds)
+    queries = len(joined.starts)
+    rows = measure.per_second(joined, chosen.seconds, timeout_ms)
+    summary = {
+        "windows": windows,
+        "received": received,
+        "extra_load": measure.extra_load(received, queries, chosen.sizes.shards),
+        "entry_cpu_ms_per_query": _per_query_ms(rounds, queries),
+        "generator_lag_ms_max": max(joined.lags_ms, default=0.0),
+        "per_second": rows,
+        "notes": [each.notes for each in rounds],
+    }
+    if chosen.recovers_after is not None:
+        steady_p99_ms = windows[chosen.windows[0].name]["latency_ms"]["p99"]
+        summary["recovery_seconds"] = measure.recovery_seconds(
+            rows, chosen.recovers_after, steady_p99_ms
+        )
     return summary
 
 
--- a/jackdawpass/commands/config_read.py
+++ b/jackdawpass/commands/config_read.py
@@ -16,6 +16,14 @@
 from jackdawpass.version import documents, parts
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """The head of an accepted version and the content of each of its parts."""
+
+    head: parts.Head
+    contents: dict[str, bytes]
+
+
 def check(arguments: argparse.Namespace) -> int:
     """Check a base file and overlays without reaching the platform."""
     loaded = {path: files.load(path) for path in (arguments.base, *arguments.overlays)}
@@ -49,12 +57,13 @@
     read = yield read_contents(current, reading, None)
     if isinstance(read, result.Failure):
         return read
-    head, contents = read.unwrap()
-    accepted = parts.join_base(contents)
+    accepted: Accepted = read.unwrap()
+    document = parts.join_base(accepted.contents)
     if part is not None:
-        accepted = msgspec.json.decode(contents.get(part, b"{}"))
-    differences = tuple(comparison.compare(accepted, loaded.unwrap()))
-    return result.Success(_differences(differences, f"version {head.version}", path))
+        document = msgspec.json.decode(accepted.contents.get(part, b"{}"))
+    differences = tuple(comparison.compare(document, loaded.unwrap()))
+    old = f"version {accepted.head.version}"
+    return result.Success(_differences(differences, old, path))
 
 
 @defer.inlineCallbacks
@@ -68,7 +77,7 @@
         read = yield read_contents(current, reading, version)
         if isinstance(read, result.Failure):
             return read
-        compared.append(files.part_documents(read.unwrap()[1]))
+        compared.append(files.part_documents(read.unwrap().contents))
     differences = tuple(comparison.compare(compared[0], compared[1]))
     return result.Success(_differences(differences, f"version {old}", f"version {new}"))
 
@@ -82,9 +91,9 @@
     read = yield read_contents(current, reading, arguments.version)
     if isinstance(read, result.Failure):
         return read
-    head, contents = read.unwrap()
-    chosen = _chosen(arguments, contents)
-    return chosen.map(lambda document: _shown(head.version, document))
+    accepted: Accepted = read.unwrap()
+    chosen = _chosen(arguments, accepted.contents)
+    return chosen.map(lambda document: _shown(accepted.head.version, document))
 
 
 @defer.inlineCallbacks
@@ -113,16 +122,14 @@
 @defer.inlineCallbacks
 def read_contents(
     current: session.Session, reading: archive.Archive, version: int | None
-) -> session.Steps[
-    result.Result[tuple[parts.Head, dict[str, bytes]], errors.ChangeError]
-]:
+) -> session.Steps[result.Result[Accepted, errors.ChangeError]]:
     """Read the head and the contents of a version; the current one when None."""
     found = yield current.read_version(reading, version)
     if isinstance(found, result.Failure):
         return found
     head = found.unwrap()
     contents = yield reading.contents(head.parts)
-    return contents.map(lambda read: (head, read))
+    return contents.map(lambda read: Accepted(head, read))
 
 
 def _chosen(
--- a/jackdawpass/commands/config_write.py
+++ b/jackdawpass/commands/config_write.py
@@ -59,7 +59,7 @@
     old = yield config_read.read_contents(current, reading, version)
     if isinstance(old, result.Failure):
         return old
-    changes = files.rollback_changes(old.unwrap()[1], head.unwrap())
+    changes = files.rollback_changes(old.unwrap().contents, head.unwrap())
     return (yield _commit(changes, head.unwrap(), current))
 
 
--- a/jackdawpass/commands/timeline.py
+++ b/jackdawpass/commands/timeline.py
@@ -78,15 +78,15 @@
 def _read_log(path: str, output_format: str) -> list[events.Event]:
     try:
         with pathlib.Path(path).open("rb") as lines:
-            found, unreadable = reading.from_log(lines)
+            content = reading.from_log(lines)
     except OSError as error:
         raise console.Failed(
             f"cannot read {path!r} ({error.strerror}); check its path and permissions"
         ) from None
-    if unreadable:
-        message = f"{path}: left out {unreadable} unreadable lines; check the log"
+    if content.unreadable:
+        message = f"{path}: left out {content.unreadable} unreadable lines"
         reports.show_warning(message, output_format)
-    return found
+    return content.events
 
 
 def _read_live(where: console.Address) -> list[events.Event]:
@@ -97,14 +97,16 @@
     while until is None or after < until:
         reply = console.call(where, "GET", f"/v1/events?after={after}")
         try:
-            page, after, last = reading.from_reply(reply.document)
+            page = reading.from_reply(reply.document)
         except ValueError:
             raise console.Failed(
                 f"{where} has no events (HTTP status {reply.status}); check that "
                 "an entry instance listens there"
             ) from None
-        found += page
-        until = last if until is None and page else until or 0
+        found += page.events
+        after = page.next
+        if until is None:
+            until = page.last if page.events else 0
     return found
 
 
--- a/jackdawpass/process/entry.py
+++ b/jackdawpass/process/entry.py
@@ -32,6 +32,9 @@
 )
 from jackdawpass.version import catalog
 
+# Time in which a change of the configuration usually reaches an instance.
+RETRY_AFTER_SECONDS = 1.0
+
 
 class Entry:
     """One entry instance.
@@ -153,20 +156,8 @@
         if problem is not None:
             finish(problem)
             return _Refused()
-        claimed = claimed_run.ClaimedRun(
-            self._reactor,
-            self._platform,
-            claims.object_key(service, idempotency_key),
-            request_id,
-            claims.fingerprint(query),
-            prepared.plan.deadline,
-            lambda on_run: self._start_run(
-                prepared, query, on_run, observer, recorded=True
-            ),
-            finish,
-        )
-        claimed.start()
-        return claimed
+        key = claims.object_key(service, idempotency_key)
+        return self._start_claimed(prepared, query, key, finish, observer)
 
     def published_after(
         self, service: str, snapshot: str
@@ -192,6 +183,29 @@
         self._dispatcher.apply(current)
         self._operations.version_in_force(current.version)
 
+    def _start_claimed(
+        self,
+        prepared: "_Prepared",
+        query: model.QueryRequest,
+        claim_key: str,
+        on_finish: claimed_run.OnFinish,
+        observer: tracing.RequestTrace,
+    ) -> claimed_run.ClaimedRun:
+        claimed = claimed_run.ClaimedRun(
+            self._reactor,
+            self._platform,
+            claim_key,
+            prepared.plan.request_id,
+            claims.fingerprint(query),
+            prepared.plan.deadline,
+            lambda on_run: self._start_run(
+                prepared, query, on_run, observer, recorded=True
+            ),
+            on_finish,
+        )
+        claimed.start()
+        return claimed
+
     def _start_run(
         self,
         prepared: "_Prepared",
@@ -233,7 +247,7 @@
             return problems.not_run(
                 problems.ProblemKind.NO_CONFIGURATION,
                 "this instance has no configuration yet; retry on another instance",
-                1.0,
+                RETRY_AFTER_SECONDS,
             )
         service = self._catalog.services.get(name)
         if service is None:
@@ -246,7 +260,7 @@
             return problems.not_run(
                 problems.ProblemKind.NO_SNAPSHOT,
                 f"service {name!r} has no published snapshot; publish one",
-                1.0,
+                RETRY_AFTER_SECONDS,
             )
         plan = _make_plan(now, request_id, service, shard_map, query)
         return _Prepared(service, shard_map, plan)
--- a/jackdawpass/process/http_api.py
+++ b/jackdawpass/process/http_api.py
@@ -13,9 +13,9 @@
 
 NOT_DONE = server.NOT_DONE_YET
 IDEMPOTENCY_HEADER = "Idempotency-Key"
+REPLAYED_HEADER = "Idempotency-Replayed"
 
 Outcome = model.Answer | problems.Problem | model.RecordedAnswer
-REPLAYED_HEADER = "Idempotency-Replayed"
 
 
 class RunningQuery(typing.Protocol):
--- a/jackdawpass/process/operations.py
+++ b/jackdawpass/process/operations.py
@@ -1,5 +1,6 @@
 """What makes an instance operable: events, metrics, status and graceful shutdown."""
 
+import collections
 import collections.abc
 import typing
 
--- a/jackdawpass/process/settings.py
+++ b/jackdawpass/process/settings.py
@@ -96,6 +96,7 @@
 RANGES = checked.Ranges(
     {
         (EntrySettings, "port"): checked.Range(0, 65_535),
+        (EntrySettings, "peer_port"): checked.Range(0, 65_535),
         (EntrySettings, "statsd_port"): checked.Range(0, 65_535),
         (EntrySettings, "max_body_bytes"): checked.Range(1, 1 << 30),
         (EntrySettings, "drain_grace_seconds"): checked.Range(0, 3600),
--- a/jackdawpass/timeline/reading.py
+++ b/jackdawpass/timeline/reading.py
@@ -1,25 +1,44 @@
 """Reads events from log files and replies of ``/v1/events``."""
 
 import collections.abc
+import dataclasses
 
 import msgspec
 
 from jackdawpass.process import events
 
 
-class _Line(msgspec.Struct):
-    event: events.Event | None = None
-    message_type: str = ""
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogContent:
+    """Events of a log, and the number of lines that could not be read."""
 
+    events: list[events.Event]
+    unreadable: int
+
+
+class Page(msgspec.Struct):
+    """Reply of ``/v1/events``.
+
+    Attributes
+    ----------
+    next : int
+        Sequence number after which the next page begins.
+    last : int
+        Sequence number of the latest event of the process.
+    """
 
-class _Reply(msgspec.Struct):
     events: list[events.Event]
     next: int
     last: int
 
 
-def from_log(lines: collections.abc.Iterable[bytes]) -> tuple[list[events.Event], int]:
-    """Return the events in a log, and the number of unreadable lines.
+class _Line(msgspec.Struct):
+    event: events.Event | None = None
+    message_type: str = ""
+
+
+def from_log(lines: collections.abc.Iterable[bytes]) -> LogContent:
+    """Read the events in a log.
 
     Lines of other message types are skipped, and so is the line with the port.
     """
@@ -37,16 +56,15 @@
             continue
         if decoded.message_type == events.MESSAGE_TYPE and decoded.event is not None:
             found.append(decoded.event)
-    return found, unreadable
+    return LogContent(found, unreadable)
 
 
-def from_reply(document: object) -> tuple[list[events.Event], int, int]:
-    """Return the events of a reply, the number to continue after, and the last one.
+def from_reply(document: object) -> Page:
+    """Read a reply of ``/v1/events``.
 
     Raises
     ------
     ValueError
         If the document is not a reply of ``/v1/events``.
     """
-    reply = msgspec.convert(document, _Reply)
-    return reply.events, reply.next, reply.last
+    return msgspec.convert(document, Page)
--- a/tests/bench/test_report.py
+++ b/tests/bench/test_report.py
@@ -42,7 +42,8 @@
 
 def test_recovery_ends_with_the_last_slow_second() -> None:
     """Guards against a recovery that is cut short by one fast second."""
-    rows = [(0.0, 10.0, 1.0), (5.0, 90.0, 1.0), (6.0, 10.0, 1.0), (7.0, 90.0, 1.0)]
+    p99_ms = {0.0: 10.0, 5.0: 90.0, 6.0: 10.0, 7.0: 90.0}
+    rows = [measure.Second(begin, p99, 1.0) for begin, p99 in p99_ms.items()]
     assert measure.recovery_seconds(rows, 5.0, steady_p99_ms=10.0) == 3.0
     assert measure.recovery_seconds(rows, 8.0, steady_p99_ms=10.0) == 0.0
 
