Render replies to operators and callers in one place

operator_api.py had its own copy of the function that sets status and headers, without a Content-Length; both use the one of http_api.py now. The rule for names and the exit codes of commands are also written once, and the bound of a sequence number has a name.

--- a/jackdawpass/checked.py
+++ b/jackdawpass/checked.py
@@ -10,6 +10,10 @@
 from jackdawpass import errors
 
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+NAME_REMEDY = (
+    "start with a lower-case letter or digit and use up to 63 lower-case letters, "
+    "digits, '.', '_' and '-'"
+)
 SHOWN_VALUE_CHARACTERS = 40
 
 _KIND_NAMES = {
@@ -168,11 +172,7 @@
 
 def _check_name(path: str, name: str) -> Faults:
     if not NAME_PATTERN.fullmatch(name):
-        remedy = (
-            "start with a lower-case letter or digit and use up to 63 lower-case "
-            "letters, digits, '.', '_' and '-'"
-        )
-        yield errors.Fault(path, "is not a valid name", remedy)
+        yield errors.Fault(path, "is not a valid name", NAME_REMEDY)
 
 
 def _wrong_kind(path: str, value: object, kind: type) -> errors.Fault:
--- a/jackdawpass/commands/bench.py
+++ b/jackdawpass/commands/bench.py
@@ -38,7 +38,7 @@
     titles = suite.titles()
     if arguments.list:
         print("\n".join(f"{name:<22}{title}" for name, title in titles.items()))
-        return 0
+        return console.EXIT_DONE
     if arguments.experiment not in titles:
         arguments.parser.error(
             f"no experiment {arguments.experiment!r}; use --list to see their names"
@@ -49,7 +49,7 @@
     # The default action would leave the started processes behind.
     signal.signal(signal.SIGTERM, _exit)
     print(suite.run(arguments.experiment, options))
-    return 0
+    return console.EXIT_DONE
 
 
 def _exit(number: int, frame: object) -> None:
--- a/jackdawpass/commands/demo.py
+++ b/jackdawpass/commands/demo.py
@@ -40,7 +40,7 @@
     demo = Demo(reactor)
     demo.run().addErrback(demo.fail).addBoth(lambda _: reactor.stop())
     reactor.run()
-    return 0 if demo.passed else 1
+    return console.EXIT_DONE if demo.passed else console.EXIT_FAILED
 
 
 class Demo:
--- a/jackdawpass/commands/files.py
+++ b/jackdawpass/commands/files.py
@@ -29,8 +29,7 @@
     """Check the name of a site or service given on the command line."""
     if checked.NAME_PATTERN.fullmatch(name):
         return result.Success(name)
-    remedy = "use lower-case letters, digits, '.', '_' and '-'"
-    fault = errors.Fault(kind, f"{name!r} is not a valid name", remedy)
+    fault = errors.Fault(kind, f"{name!r} is not a valid name", checked.NAME_REMEDY)
     return result.Failure(errors.InvalidConfiguration((fault,)))
 
 
--- a/jackdawpass/commands/stand_in.py
+++ b/jackdawpass/commands/stand_in.py
@@ -37,7 +37,7 @@
         arguments.parser.error(f"--options cannot be used ({error}); correct the JSON")
     print(json.dumps(listening), flush=True)
     reactor.run()
-    return 0
+    return console.EXIT_DONE
 
 
 def _listen(reactor: typing.Any, arguments: argparse.Namespace) -> dict[str, object]:
--- a/jackdawpass/process/entry.py
+++ b/jackdawpass/process/entry.py
@@ -32,7 +32,6 @@
 )
 from jackdawpass.version import catalog
 
-# Time in which a change of the configuration usually reaches an instance.
 RETRY_AFTER_SECONDS = 1.0
 
 
--- a/jackdawpass/process/http_api.py
+++ b/jackdawpass/process/http_api.py
@@ -73,7 +73,7 @@
     isLeaf = True
 
     def render_GET(self, request: server.Request) -> bytes:
-        return _render(request, 200, {"status": "ok"})
+        return render(request, 200, {"status": "ok"})
 
 
 class _Ready(resource.Resource):
@@ -86,7 +86,7 @@
     def render_GET(self, request: server.Request) -> bytes:
         reason = self._queries.unready_reason
         document = {"ready": reason is None, "reason": reason}
-        return _render(request, 200 if reason is None else 503, document)
+        return render(request, 200 if reason is None else 503, document)
 
 
 class _Control(resource.Resource):
@@ -98,7 +98,7 @@
 
     def render_GET(self, request: server.Request) -> bytes:
         status = self._queries.control_status
-        return _render(request, 200, msgspec.to_builtins(status))
+        return render(request, 200, msgspec.to_builtins(status))
 
 
 class _Services(resource.Resource):
@@ -162,11 +162,11 @@
             body = _render_problem(self._request, self._request_id, outcome)
         elif isinstance(outcome, model.RecordedAnswer):
             self._request.setHeader(REPLAYED_HEADER, "true")
-            body = _render(self._request, 200, outcome.document)
+            body = render(self._request, 200, outcome.document)
         else:
             elapsed = clock.monotonic() - self._started
             document = problems.answer_document(outcome, elapsed)
-            body = _render(self._request, 200, document)
+            body = render(self._request, 200, document)
         self._request.write(body)
         self._request.finish()
 
@@ -191,15 +191,16 @@
     if problem.retry_after is not None:
         request.setHeader("Retry-After", str(max(1, round(problem.retry_after))))
     document = problems.to_document(problem, request_id)
-    return _render(request, problem.status, document, problems.CONTENT_TYPE)
+    return render(request, problem.status, document, problems.CONTENT_TYPE)
 
 
-def _render(
+def render(
     request: server.Request,
     status: int,
     document: model.JsonObject,
     content_type: str = "application/json",
 ) -> bytes:
+    """Set status and headers of a reply and return the encoded document."""
     request.setResponseCode(status)
     request.setHeader("Content-Type", content_type)
     body = msgspec.json.encode(document)
--- a/jackdawpass/process/operator_api.py
+++ b/jackdawpass/process/operator_api.py
@@ -1,15 +1,15 @@
 """HTTP resources for operators: status, events and drain."""
 
-import collections.abc
 import typing
 
-import msgspec
 from twisted.web import resource, server
 
-from jackdawpass.process import events
+from jackdawpass.process import events, http_api
 from jackdawpass.request import model, problems
 
 MAX_EVENTS = 10_000
+# Every number of this many digits fits in 64 bits.
+MAX_SEQUENCE_DIGITS = 18
 
 
 class Instance(typing.Protocol):
@@ -43,7 +43,7 @@
         self._instance = instance
 
     def render_GET(self, request: server.Request) -> bytes:
-        return _render(request, 200, self._instance.status())
+        return http_api.render(request, 200, self._instance.status())
 
 
 class _Events(resource.Resource):
@@ -56,7 +56,7 @@
     def render_GET(self, request: server.Request) -> bytes:
         after = _after(request)
         if after is None:
-            return _render(request, 400, _bad_after(), problems.CONTENT_TYPE)
+            return http_api.render(request, 400, _bad_after(), problems.CONTENT_TYPE)
         ring = self._instance.ring
         selected = ring.after(after, MAX_EVENTS)
         document = {
@@ -65,7 +65,7 @@
             "next": selected[-1].seq if selected else after,
             "events": selected,
         }
-        return _render(request, 200, document)
+        return http_api.render(request, 200, document)
 
 
 class _Drain(resource.Resource):
@@ -77,13 +77,14 @@
 
     def render_POST(self, request: server.Request) -> bytes:
         self._instance.drain()
-        return _render(request, 202, self._instance.status())
+        return http_api.render(request, 202, self._instance.status())
 
 
 def _after(request: server.Request) -> int | None:
     values = (request.args or {}).get(b"after", [b"0"])
     text = values[-1].decode("ascii", "replace")
-    return int(text) if text.isdecimal() and len(text) < 19 else None
+    usable = text.isdecimal() and len(text) <= MAX_SEQUENCE_DIGITS
+    return int(text) if usable else None
 
 
 def _bad_after() -> model.JsonObject:
@@ -92,14 +93,3 @@
         "after is not a sequence number; use a whole number from 0",
     )
     return problems.to_document(problem, "")
-
-
-def _render(
-    request: server.Request,
-    status: int,
-    document: collections.abc.Mapping[str, object],
-    content_type: str = "application/json",
-) -> bytes:
-    request.setResponseCode(status)
-    request.setHeader("Content-Type", content_type)
-    return msgspec.json.encode(document)
