Merge the clean-up of code written twice

Cause: schema checks, output of commands, HTTP calls and platform fakes were written two or three times by parallel work.

--- a/jackdawpass/commands/bench.py
+++ b/jackdawpass/commands/bench.py
@@ -6,10 +6,16 @@
 import sys
 import typing
 
+from jackdawpass.commands import console
+
+EXAMPLE = """example:
+  jackdawpass bench one-straggler --scale 0.2
+"""
+
 
 def add_parser(subparsers: typing.Any) -> None:
     """Add the command to the parser."""
-    parser = subparsers.add_parser("bench", help=__doc__)
+    parser = console.add_command(subparsers, "bench", __doc__, EXAMPLE)
     parser.add_argument("experiment", nargs="?", metavar="EXPERIMENT")
     parser.add_argument("--list", action="store_true", help="list the experiments")
     parser.add_argument("--seed", type=int, default=1)
@@ -32,17 +38,18 @@
     titles = suite.titles()
     if arguments.list:
         print("\n".join(f"{name:<22}{title}" for name, title in titles.items()))
-        return 0
+        return console.EXIT_DONE
     if arguments.experiment not in titles:
-        print(f"no experiment {arguments.experiment!r}; see --list", file=sys.stderr)
-        return 2
+        arguments.parser.error(
+            f"no experiment {arguments.experiment!r}; use --list to see their names"
+        )
     options = suite.Options(
         arguments.seed, arguments.scale, arguments.rounds, pathlib.Path(arguments.out)
     )
     # The default action would leave the started processes behind.
     signal.signal(signal.SIGTERM, _exit)
     print(suite.run(arguments.experiment, options))
-    return 0
+    return console.EXIT_DONE
 
 
 def _exit(number: int, frame: object) -> None:
