Add a routing comparison and stragglers with three replicas to bench

Cause: the choice of routing had no measured alternatives, and with two replicas both straggle in 14% of the queries to 60 shards (60 x 0.05^2), so no hedge can reach the 99th percentile there. Change: 'bench routing' runs random, round robin, least in-flight and two random choices with the same arrivals; 'stragglers-3-replicas' is the experiment in which the goal can be met. The experiment 'stragglers' keeps its two replicas.

--- a/jackdawpass/bench/cluster.py
+++ b/jackdawpass/bench/cluster.py
@@ -15,6 +15,8 @@
 CHOSEN = "chosen"
 NAIVE = "naive"
 POLICIES = (CHOSEN, NAIVE)
+# Any other policy is the name of an alternative router.
+ROUTED_ENTRY = "jackdawpass.bench.routed_entry"
 
 
 class Cluster:
@@ -100,10 +102,12 @@
         }
         path = pathlib.Path(self._directory.name) / f"{name}.json"
         path.write_text(json.dumps(settings), encoding="utf-8")
-        flags = ("--baseline",) if policy == NAIVE else ()
-        entry = self._start(
-            "entry", "--settings", str(path), *flags, *self._entry_arguments
-        )
+        flags = ("--settings", str(path), *self._entry_arguments)
+        if policy in POLICIES:
+            baseline = ("--baseline",) if policy == NAIVE else ()
+            entry = self._start("entry", *flags, *baseline)
+        else:
+            entry = self._start("--router", policy, *flags, module=ROUTED_ENTRY)
         _wait_ready(entry)
         return entry
 
@@ -169,8 +173,8 @@
         if status not in (200, 201) and not (create and status == 412):
             raise RuntimeError(f"PUT {key} failed with status {status}")
 
-    def _start(self, *arguments: str) -> processes.Server:
-        server = processes.Server(arguments)
+    def _start(self, *arguments: str, module: str = "jackdawpass") -> processes.Server:
+        server = processes.Server(arguments, module)
         self._servers.append(server)
         return server
 
--- a/jackdawpass/bench/experiments/__init__.py
+++ b/jackdawpass/bench/experiments/__init__.py
@@ -13,6 +13,7 @@
     snapshot_change,
     steady,
     stragglers,
+    stragglers_three,
     zone_cut,
 )
 
@@ -22,6 +23,7 @@
         steady,
         one_straggler,
         stragglers,
+        stragglers_three,
         replica_lost,
         draining,
         cold_start,
--- /dev/null
+++ b/jackdawpass/bench/experiments/stragglers_three.py
@@ -0,0 +1,16 @@
+"""5% of the requests straggle, with three replicas of each shard.
+
+With two replicas, both straggle for 0.25% of the shards, that is in 14% of the queries
+to 60 shards, and no third target is left; no hedge can then reach the 99th percentile.
+"""
+
+import dataclasses
+
+from jackdawpass.bench.experiments import stragglers
+
+EXPERIMENT = dataclasses.replace(
+    stragglers.EXPERIMENT,
+    name="stragglers-3-replicas",
+    title="5% stragglers on every target, three replicas",
+    sizes=dataclasses.replace(stragglers.SIZES, replicas=3),
+)
--- a/jackdawpass/bench/processes.py
+++ b/jackdawpass/bench/processes.py
@@ -41,10 +41,22 @@
 
 
 class Server:
-    """A process of the command line that prints its ports on its first line."""
-
-    def __init__(self, arguments: collections.abc.Sequence[str]) -> None:
-        self._popen = start("jackdawpass", *arguments)
+    """A process that prints its ports on its first line.
+
+    Parameters
+    ----------
+    arguments : sequence of str
+        Arguments of the process.
+    module : str
+        Module to run; the command line by default.
+    """
+
+    def __init__(
+        self,
+        arguments: collections.abc.Sequence[str],
+        module: str = "jackdawpass",
+    ) -> None:
+        self._popen = start(module, *arguments)
         assert self._popen.stdout is not None
         line = self._popen.stdout.readline()
         if not line:
--- /dev/null
+++ b/jackdawpass/bench/routed_entry.py
@@ -0,0 +1,30 @@
+"""Entry instance with one of the alternative routers; run as a process of its own."""
+
+import argparse
+import json
+import pathlib
+import typing
+
+from jackdawpass.bench import routers
+from jackdawpass.process import entry, settings
+
+
+def main() -> None:
+    """Run until the process is killed."""
+    from twisted.internet import reactor
+
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--settings", required=True)
+    parser.add_argument("--router", required=True, choices=routers.CHOICES)
+    arguments = parser.parse_args()
+    text = pathlib.Path(arguments.settings).read_text(encoding="utf-8")
+    options = settings.load(text, arguments.settings, {}, {}).unwrap().settings
+    policy = routers.RoutingPolicy(routers.CHOICES[arguments.router])
+    instance = entry.Entry(reactor, options, policy)
+    instance.start()
+    print(json.dumps({"port": instance.port}), flush=True)
+    typing.cast(typing.Any, reactor).run()
+
+
+if __name__ == "__main__":
+    main()
--- a/jackdawpass/bench/runner.py
+++ b/jackdawpass/bench/runner.py
@@ -41,16 +41,21 @@
     notes: experiment.Notes
 
 
-def run(chosen: experiment.Experiment, seed: int, rounds: int) -> list[RoundResult]:
+def run(
+    chosen: experiment.Experiment,
+    seed: int,
+    rounds: int,
+    policies: tuple[str, ...] = cluster.POLICIES,
+) -> list[RoundResult]:
     """Run all rounds; the policy that begins alternates.
 
-    Both policies get the same arrivals in a round.
+    All policies get the same arrivals in a round.
     """
-    running = cluster.Cluster(chosen.sizes, seed)
+    running = cluster.Cluster(chosen.sizes, seed, policies)
     results = []
     try:
         for number in range(rounds):
-            order = cluster.POLICIES if number % 2 == 0 else cluster.POLICIES[::-1]
+            order = policies if number % 2 == 0 else policies[::-1]
             for policy in order:
                 results.append(_run_round(chosen, running, policy, seed + number))
                 _restore(running)
--- a/jackdawpass/bench/suite.py
+++ b/jackdawpass/bench/suite.py
@@ -11,10 +11,12 @@
     path_cost,
     plots,
     report,
+    routing,
     runner,
 )
 
 PATH_COST = "path-cost"
+ROUTING = "routing"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,6 +33,7 @@
     """Return the title of each experiment by its name."""
     listed = {each.name: each.title for each in experiments.ALL.values()}
     listed[PATH_COST] = path_cost.TITLE
+    listed[ROUTING] = routing.TITLE
     return listed
 
 
@@ -39,6 +42,8 @@
     options.out.mkdir(parents=True, exist_ok=True)
     if name == PATH_COST:
         return _run_path_cost(options)
+    if name == ROUTING:
+        return _run_routing(options)
     return _run_experiment(experiments.ALL[name].scaled(options.scale), options)
 
 
@@ -65,5 +70,11 @@
     return path_cost.render(costs)
 
 
+def _run_routing(options: Options) -> str:
+    measured = routing.run(options.seed, options.scale, options.rounds)
+    _write_json(options.out / f"{ROUTING}.json", measured)
+    return routing.render(measured)
+
+
 def _write_json(path: pathlib.Path, document: dict[str, typing.Any]) -> None:
     path.write_text(json.dumps(document, indent=1), encoding="utf-8")
