Refuse whole queries early under overload and relearn latencies sooner

Changes: a query is refused as not_run (overloaded, Retry-After) when over a tenth of its shards would miss 60% of the deadline; the unloaded latency is at least the observed one times floor / limit; 5 samples suffice.

--- a/jackdawpass/process/adaptive.py
+++ b/jackdawpass/process/adaptive.py
@@ -5,6 +5,7 @@
 import random
 
 from jackdawpass.process import (
+    admission,
     budget,
     hedging,
     latencies,
@@ -156,6 +157,27 @@
         gate = self._limiters.get(target)
         return 0.0 if gate is None else gate.expected_latency()
 
+    def admits(
+        self,
+        now: float,
+        service: catalog.Service,
+        shard_map: catalog.ShardMap,
+        plan: model.QueryPlan,
+    ) -> bool:
+        """Return False when a query would wait in vain for too many of its targets."""
+        if self._state(service).replicas.idle:
+            return True
+        available = plan.deadline - now
+        return admission.admits(
+            (
+                self._queue_wait(now, service, shard_map.replicas[shard])
+                for shard in plan.shards
+            ),
+            len(plan.shards),
+            available,
+            plan.min_coverage,
+        )
+
     def on_submitted(self, now: float, attempt: model.Attempt) -> None:
         """Note an attempt that was handed to its target's channel."""
         replica = self._replica(attempt)
@@ -200,6 +222,21 @@
         state = self._services.get(attempt.service)
         return None if state is None else state.replicas.get(attempt.target)
 
+    def _queue_wait(
+        self, now: float, service: catalog.Service, names: tuple[str, ...]
+    ) -> float:
+        """Return the wait at the replica that routing prefers; 0 without a queue."""
+        statistics = self._state(service).replicas
+        waits: dict[bool, list[float]] = {True: [], False: []}
+        for name in names:
+            replica, gate = statistics.get(name), self._limiters.get(name)
+            if replica is None or gate is None or not replica.usable(now):
+                continue
+            queues = replica.in_flight >= max(1.0, gate.limit)
+            wait = gate.expected_wait(replica.in_flight) if queues else 0.0
+            waits[service.targets[name].zone == self._zone].append(wait)
+        return min(waits[True] or waits[False], default=0.0)
+
     def _at_limit(self, name: str, replica: replicas.Replica) -> bool:
         gate = self._limiters.get(name)
         return gate is not None and replica.in_flight >= gate.limit + 1
--- a/jackdawpass/process/entry.py
+++ b/jackdawpass/process/entry.py
@@ -25,6 +25,7 @@
     machine,
     model,
     problems,
+    refusals,
     runner,
     single_run,
 )
@@ -217,6 +218,15 @@
                 1.0,
             )
         plan = _make_plan(now, request_id, service, shard_map, query)
+        # A non-idempotent request with a key may have run before; its repeat gets the
+        # recorded outcome, so it must not be refused as not run here.
+        if query.idempotent and not self._policy.admits(now, service, shard_map, plan):
+            return problems.not_run(
+                problems.ProblemKind.OVERLOADED,
+                "the service's targets have more work queued than they can do before "
+                "the deadline; retry later or allow a longer timeout_ms",
+                refusals.RETRY_AFTER_SECONDS,
+            )
         return _Prepared(service, shard_map, plan)
 
 
--- a/jackdawpass/process/limiter.py
+++ b/jackdawpass/process/limiter.py
@@ -11,7 +11,7 @@
 # The minimum of a noisy average is far below the mean and differs by instance, which
 # would give the instances of one target different limits.
 LONG_WEIGHT = 0.02
-MIN_SAMPLES = 10
+MIN_SAMPLES = 5
 # Added to the tolerated latency: delays of the own event loop are no sign of load.
 LATENCY_SLACK_SECONDS = 0.002
 TOLERATED_RATIO = 2.0
@@ -80,6 +80,22 @@
         """Return the recent latency in seconds; 0 when unknown."""
         return self._short
 
+    def expected_wait(self, submitted: int) -> float:
+        """Return the seconds until a new attempt would be answered.
+
+        Parameters
+        ----------
+        submitted : int
+            Attempts that were submitted and have not ended.
+
+        Returns
+        -------
+        float
+            The recent latency unless there are more attempts than the limit.
+        """
+        ahead = max(0.0, submitted + 1 - self._limit)
+        return self._short * (1 + ahead / self._limit)
+
     def try_start(self, now: float) -> bool:
         """Take a place for one attempt; False when it has to wait."""
         if self._in_flight >= max(1, math.floor(self._limit)):
@@ -158,10 +174,9 @@
         if elapsed > 0:
             self._base *= 1 + BASE_DRIFT_PER_SECOND * elapsed
         self._base = min(self._base, self._long)
-        if self._limit <= 2 * self._floor:
-            # All instances at twice their floor keep at most twice the slots busy, so
-            # at least half of this latency is the target's own.
-            self._base = max(self._base, self._short / 2)
+        # All instances at a multiple of their floor keep at most that multiple of the
+        # slots busy, so the unloaded latency is at least the inverse share of this one.
+        self._base = max(self._base, self._short * self._floor / self._limit)
 
     def _set_limit(self, limit: float) -> None:
         self._limit = min(self._ceiling, max(self._floor, limit))
--- a/jackdawpass/process/policy.py
+++ b/jackdawpass/process/policy.py
@@ -90,6 +90,15 @@
     def expected_latency(self, target: str) -> float:
         """Return a target's recent latency in seconds; 0 when unknown."""
 
+    def admits(
+        self,
+        now: float,
+        service: catalog.Service,
+        shard_map: catalog.ShardMap,
+        plan: model.QueryPlan,
+    ) -> bool:
+        """Return False when a query would wait in vain for too many of its targets."""
+
 
 class OpenGate:
     """Lets every attempt start at once."""
@@ -123,6 +132,16 @@
         """Return 0, since nothing is measured."""
         return 0.0
 
+    def admits(
+        self,
+        now: float,
+        service: catalog.Service,
+        shard_map: catalog.ShardMap,
+        plan: model.QueryPlan,
+    ) -> bool:
+        """Return True, since no wait is expected."""
+        return True
+
     def on_submitted(self, now: float, attempt: model.Attempt) -> None:
         """Ignore the attempt."""
 
--- a/jackdawpass/process/replicas.py
+++ b/jackdawpass/process/replicas.py
@@ -252,6 +252,11 @@
         """Median latency of the targets, in seconds."""
         return self._typical
 
+    @property
+    def idle(self) -> bool:
+        """True while no attempt at any target is under way."""
+        return not any(each.in_flight for each in self._replicas.values())
+
     def get(self, name: str) -> Replica | None:
         """Return the statistics of a target; None when the service lacks it."""
         return self._replicas.get(name)
--- a/jackdawpass/request/fanout.py
+++ b/jackdawpass/request/fanout.py
@@ -1,24 +1,16 @@
 """State machine of one idempotent query over many shards."""
 
 import dataclasses
+import math
 
-from jackdawpass.request import machine, merge, model, problems
+from jackdawpass.request import machine, merge, model, problems, refusals
 
-_SNAPSHOT_FAILURES = frozenset(
-    (model.FailureKind.SNAPSHOT_NOT_HELD, model.FailureKind.SHARD_MOVED)
-)
-_REFUSALS = frozenset(
-    (
-        model.FailureKind.QUEUE_FULL,
-        model.FailureKind.SHED,
-        model.FailureKind.DRAINING,
-        model.FailureKind.COLD,
-    )
-)
 _WRONG_SNAPSHOT = model.AttemptFailure(
     model.FailureKind.SNAPSHOT_NOT_HELD, model.Execution.MAY_HAVE_RUN
 )
-RETRY_AFTER_SECONDS = 1.0
+# With more than this share of a query's first attempts unanswered, none is hedged.
+MAX_UNANSWERED_SHARE = 0.5
+MIN_UNANSWERED = 4
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,6 +58,7 @@
         # Attempts that a target may have run; empty means that nothing ran.
         self._may_have_run: set[int] = set()
         self._next_attempt_id = 1
+        self._first_attempts = 0
         self._restarted = False
         self._finished = False
         self._wake_at: float | None = None
@@ -81,9 +74,24 @@
         """The pinned snapshot."""
         return self._plan.snapshot
 
+    @property
+    def _is_mostly_unanswered(self) -> bool:
+        """True while so much is unanswered that no single target is to blame.
+
+        The whole service or this instance is slow then, and hedges only add load.
+        """
+        unanswered = sum(
+            entry.attempt.kind is model.AttemptKind.FIRST
+            for entry in self._outstanding.values()
+        )
+        return unanswered > max(
+            MIN_UNANSWERED, MAX_UNANSWERED_SHARE * self._first_attempts
+        )
+
     def start(self, now: float) -> machine.Actions:
         """Send the first attempts."""
         assignments = self._assign_all(now)
+        self._first_attempts = len(assignments)
         self._budget.on_first_attempts(now, len(assignments))
         actions = self._send(assignments, model.AttemptKind.FIRST)
         return self._conclude(now, actions)
@@ -94,10 +102,11 @@
         entry = self._outstanding.get(attempt_id)
         if entry is None or self._finished:
             return ()
-        delay = self._hedging.delay(now, entry.attempt.target)
-        if delay is not None and entry.attempt.kind is not model.AttemptKind.HEDGE:
-            entry.hedge_at = now + delay
-        return self._wake()
+        self._plan_hedge(now, entry)
+        if entry.hedge_at is None or (self._wake_at or math.inf) <= entry.hedge_at:
+            return ()
+        self._wake_at = entry.hedge_at
+        return (machine.WakeAt(entry.hedge_at),)
 
     def on_reply(
         self, now: float, attempt_id: int, reply: model.SubReply
@@ -199,8 +208,8 @@
         self._last_failure = failure
         orphans = (shards & self._merge.uncovered) - self._carried()
         for shard in shards & self._merge.uncovered:
-            self._reasons[shard] = _reason(failure)
-            if failure.kind in _SNAPSHOT_FAILURES:
+            self._reasons[shard] = refusals.missing_reason(failure)
+            if failure.kind in refusals.SNAPSHOT_FAILURES:
                 self._snapshot_lost.add(shard)
         assignments = self._router.assign(now, orphans, self._excluded)
         retried = frozenset[int]().union(*(entry.shards for entry in assignments))
@@ -240,14 +249,24 @@
             for entry in self._outstanding.values()
             if entry.hedge_at is not None and entry.hedge_at <= now
         ]
+        if self._is_mostly_unanswered:
+            for entry in due:
+                self._plan_hedge(now, entry)
+            return ()
         for entry in due:
             entry.hedge_at = None
             shards = entry.attempt.shards & self._merge.uncovered
             for assignment in self._router.assign(now, shards, self._excluded):
                 if self._budget.try_spend(now):
                     actions += self._send((assignment,), model.AttemptKind.HEDGE)
+                else:
+                    self._plan_hedge(now, entry)
         return actions
 
+    def _plan_hedge(self, now: float, entry: _Outstanding) -> None:
+        delay = self._hedging.delay(now, entry.attempt.target)
+        entry.hedge_at = None if delay is None else now + delay
+
     def _carried(self) -> frozenset[int]:
         """Return the shards that an outstanding attempt may still cover."""
         return frozenset[int]().union(
@@ -286,10 +305,7 @@
     def _is_over(self, now: float) -> bool:
         if not self._outstanding or not self._merge.uncovered:
             return True
-        reachable = self._merge.uncovered & self._carried()
-        total = len(self._plan.shards)
-        best = (total - len(self._merge.uncovered) + len(reachable)) / total
-        if best < self._plan.min_coverage:
+        if self._plan.min_coverage > 0 and not self._may_reach_coverage():
             return True
         early_after = self._plan.early_after
         enough = max(self._plan.early_coverage, self._plan.min_coverage)
@@ -299,14 +315,24 @@
             and self._merge.ratio >= enough
         )
 
+    def _may_reach_coverage(self) -> bool:
+        reachable = self._merge.uncovered & self._carried()
+        total = len(self._plan.shards)
+        best = (total - len(self._merge.uncovered) + len(reachable)) / total
+        return best >= self._plan.min_coverage
+
     def _wake(self) -> machine.Actions:
+        """Set the timer unless it is set.
+
+        A timer that an answered attempt no longer needs is left: looking for the next
+        one at each reply took a fifth of the decisions' processor time.
+        """
+        if self._wake_at is not None:
+            return ()
         times = [entry.hedge_at for entry in self._outstanding.values()]
         times += [self._plan.deadline, self._early_at]
-        at = min(time for time in times if time is not None)
-        if at == self._wake_at:
-            return ()
-        self._wake_at = at
-        return (machine.WakeAt(at),)
+        self._wake_at = min(time for time in times if time is not None)
+        return (machine.WakeAt(self._wake_at),)
 
     def _finish(self) -> machine.Actions:
         self._finished = True
@@ -326,7 +352,7 @@
                 self._merge.top(self._plan.limit),
             )
         if not self._may_have_run:
-            return self._not_run()
+            return refusals.not_run(self._last_failure, self._next_attempt_id > 1)
         detail = (
             f"{coverage.covered} of {coverage.shards} shards answered in time; "
             "allow a longer timeout_ms, accept a lower min_coverage, or retry"
@@ -335,44 +361,6 @@
             problems.ProblemKind.COVERAGE_TOO_LOW,
             model.Outcome.INCOMPLETE,
             detail,
-            RETRY_AFTER_SECONDS,
+            refusals.RETRY_AFTER_SECONDS,
             coverage,
         )
-
-    def _not_run(self) -> problems.Problem:
-        failure = self._last_failure
-        if failure is None and self._next_attempt_id == 1:
-            return problems.not_run(
-                problems.ProblemKind.NO_TARGET,
-                "no target holds a shard of the published snapshot; check that the "
-                "service's targets are up and hold it",
-                RETRY_AFTER_SECONDS,
-            )
-        if failure is None or failure.kind is model.FailureKind.QUEUE_EXPIRED:
-            return problems.not_run(
-                problems.ProblemKind.DEADLINE_EXCEEDED,
-                "the deadline passed before a target was free; "
-                "allow a longer timeout_ms or retry later",
-                RETRY_AFTER_SECONDS,
-            )
-        if failure.kind in _REFUSALS:
-            return problems.not_run(
-                problems.ProblemKind.OVERLOADED,
-                "the service's targets accept no more work; retry later",
-                max(failure.retry_after, RETRY_AFTER_SECONDS),
-            )
-        return problems.not_run(
-            problems.ProblemKind.NO_TARGET,
-            "no target of the service could be reached; check that they are up",
-            RETRY_AFTER_SECONDS,
-        )
-
-
-def _reason(failure: model.AttemptFailure) -> model.MissingReason:
-    if failure.kind in _SNAPSHOT_FAILURES:
-        return model.MissingReason.SNAPSHOT_GONE
-    if failure.kind in _REFUSALS:
-        return model.MissingReason.REFUSED
-    if failure.kind in (model.FailureKind.TIMED_OUT, model.FailureKind.QUEUE_EXPIRED):
-        return model.MissingReason.TIMED_OUT
-    return model.MissingReason.FAILED
--- /dev/null
+++ b/jackdawpass/request/refusals.py
@@ -0,0 +1,64 @@
+"""What the failures of attempts mean for a query that gives up on them."""
+
+from jackdawpass.request import model, problems
+
+SNAPSHOT_FAILURES = frozenset(
+    (model.FailureKind.SNAPSHOT_NOT_HELD, model.FailureKind.SHARD_MOVED)
+)
+REFUSALS = frozenset(
+    (
+        model.FailureKind.QUEUE_FULL,
+        model.FailureKind.SHED,
+        model.FailureKind.DRAINING,
+        model.FailureKind.COLD,
+    )
+)
+RETRY_AFTER_SECONDS = 1.0
+
+
+def not_run(failure: model.AttemptFailure | None, attempted: bool) -> problems.Problem:
+    """Return the problem of a query that ran nowhere.
+
+    Parameters
+    ----------
+    failure : AttemptFailure or None
+        The last failure of an attempt.
+    attempted : bool
+        False when no target was found for any shard.
+    """
+    if failure is None and not attempted:
+        return problems.not_run(
+            problems.ProblemKind.NO_TARGET,
+            "no target holds a shard of the published snapshot; check that the "
+            "service's targets are up and hold it",
+            RETRY_AFTER_SECONDS,
+        )
+    if failure is None or failure.kind is model.FailureKind.QUEUE_EXPIRED:
+        return problems.not_run(
+            problems.ProblemKind.DEADLINE_EXCEEDED,
+            "the deadline passed before a target was free; "
+            "allow a longer timeout_ms or retry later",
+            RETRY_AFTER_SECONDS,
+        )
+    if failure.kind in REFUSALS:
+        return problems.not_run(
+            problems.ProblemKind.OVERLOADED,
+            "the service's targets accept no more work; retry later",
+            max(failure.retry_after, RETRY_AFTER_SECONDS),
+        )
+    return problems.not_run(
+        problems.ProblemKind.NO_TARGET,
+        "no target of the service could be reached; check that they are up",
+        RETRY_AFTER_SECONDS,
+    )
+
+
+def missing_reason(failure: model.AttemptFailure) -> model.MissingReason:
+    """Return why a shard is missing after its last attempt failed."""
+    if failure.kind in SNAPSHOT_FAILURES:
+        return model.MissingReason.SNAPSHOT_GONE
+    if failure.kind in REFUSALS:
+        return model.MissingReason.REFUSED
+    if failure.kind in (model.FailureKind.TIMED_OUT, model.FailureKind.QUEUE_EXPIRED):
+        return model.MissingReason.TIMED_OUT
+    return model.MissingReason.FAILED
--- a/tests/failures/test_not_run.py
+++ b/tests/failures/test_not_run.py
@@ -63,6 +63,24 @@
     assert "Retry-After" in answer.headers
 
 
+def test_overload_refuses_whole_queries_early(
+    processes: rig.Rig, entry: rig.Process
+) -> None:
+    """Guards against queries that each lose some sub-requests in the queues."""
+    for target in processes.targets.values():
+        processes.faults(target, delay_ms=100)
+    for _ in range(10):
+        load.query(entry, "lots", "warm")
+    callers = load.Callers(entry, "lots", count=40)
+    time.sleep(3.0)
+    answers = [answer for _, answer in callers.stop()]
+    refused = [each for each in answers if each.document.get("kind") == "overloaded"]
+    assert refused, "nothing was refused, so the test shows nothing"
+    assert all(each.document["outcome"] == "not_run" for each in refused)
+    assert all("Retry-After" in each.headers for each in refused)
+    assert not {each.document["request_id"] for each in refused} & _runs(processes)
+
+
 def test_caller_that_goes_away_cancels_its_work(
     processes: rig.Rig, entry: rig.Process
 ) -> None:
--- a/tests/process/test_adaptive.py
+++ b/tests/process/test_adaptive.py
@@ -3,6 +3,7 @@
 import random
 
 from jackdawpass.process import adaptive
+from jackdawpass.request import model
 from jackdawpass.version import catalog, schema
 from tests.process import samples
 
@@ -47,6 +48,36 @@
     assert _chosen(decisions, current) == {"a1"}
 
 
+def _plan(timeout: float) -> model.QueryPlan:
+    return model.QueryPlan("r", "lots", "s1", frozenset((0,)), timeout, 10, 0.0)
+
+
+def _submit(decisions: adaptive.AdaptivePolicy, count: int) -> None:
+    for _ in range(count):
+        decisions.on_submitted(1.0, samples.make_attempt(1, "a1"))
+
+
+def test_query_is_refused_only_while_its_targets_queue_too_much() -> None:
+    """Guards against queries that lose sub-requests, and against refusing for ever."""
+    decisions = adaptive.AdaptivePolicy("a", random.Random(0))
+    current = _catalog("a1")
+    decisions.apply(0.0, current)
+    service = current.services["lots"]
+    assert service.shard_map is not None
+    gate = decisions.gate(service.targets["a1"])
+    for step in range(20):
+        now = gate.next_start(step / 20) or 0.0
+        assert gate.try_start(now)
+        gate.on_reply(now + 0.1, 0.1)
+    _submit(decisions, 3)
+    assert decisions.admits(1.0, service, service.shard_map, _plan(3.0))
+    _submit(decisions, 100)
+    assert not decisions.admits(1.0, service, service.shard_map, _plan(3.0))
+    for _ in range(103):
+        decisions.on_cancelled(1.0, samples.make_attempt(1, "a1"), 0.0)
+    assert decisions.admits(1.0, service, service.shard_map, _plan(1.0001))
+
+
 def test_connections_follow_the_share() -> None:
     """Guards against a list that raises the number of connections."""
     decisions = adaptive.AdaptivePolicy("a", random.Random(0))
--- a/tests/process/test_limiter.py
+++ b/tests/process/test_limiter.py
@@ -95,6 +95,35 @@
     assert gate.limit > 1.5
 
 
+def test_slow_target_is_not_throttled_to_the_floor() -> None:
+    """Guards against a slowdown of the target that is taken for its queue.
+
+    The limit then fell to the floor, at which sub-requests queued in the instance.
+    """
+    gate = limiter.Limiter(2 / 12, 5.0)
+    now, lowest = 0.0, 5.0
+    for latency, count in ((0.004, 100), (0.032, 100)):
+        for _ in range(count):
+            now = gate.next_start(now) or now
+            assert gate.try_start(now)
+            now += latency
+            gate.on_reply(now, latency)
+            lowest = min(lowest, gate.limit) if latency > 0.01 else lowest
+    assert lowest > 2 * 2 / 12
+
+
+def test_expected_wait_grows_with_the_queue() -> None:
+    """Guards against admission that ignores what waits for a target already."""
+    gate = limiter.Limiter(0.5, 1.0)
+    for step in range(200):
+        now = gate.next_start(float(step)) or float(step)
+        assert gate.try_start(now)
+        gate.on_reply(now + 0.01, 0.01)
+    assert gate.limit == 1.0
+    assert abs(gate.expected_wait(0) - 0.01) < 1e-6
+    assert abs(gate.expected_wait(4) - 0.05) < 1e-6
+
+
 @hypothesis.given(
     strategies.lists(
         strategies.tuples(
--- a/tests/request/test_fanout.py
+++ b/tests/request/test_fanout.py
@@ -89,6 +89,50 @@
     assert not fakes.sends(query.on_timer(0.2))
 
 
+def test_hedge_that_straggles_is_hedged() -> None:
+    """Guards against waiting for two stragglers while a third replica is idle."""
+    query = _fanout({0: ("a", "b", "c")}, hedge_delay=0.1)
+    query.start(0.0)
+    query.on_sent(0.0, 1)
+    query.on_timer(0.1)
+    query.on_sent(0.1, 2)
+    (second,) = fakes.sends(query.on_timer(0.2))
+    assert (second.target, second.kind) == ("c", model.AttemptKind.HEDGE)
+    actions = query.on_reply(0.25, second.attempt_id, fakes.reply(second))
+    assert sorted(fakes.cancels(actions)) == [1, 2]
+
+
+def test_no_hedge_while_most_of_a_query_is_unanswered() -> None:
+    """Guards against a burst of hedges before the service is known to be slow."""
+    placement = {shard: (f"a{shard}", f"b{shard}") for shard in range(10)}
+    query = _fanout(placement, hedge_delay=0.1, tokens=100)
+    attempts = fakes.sends(query.start(0.0))
+    for attempt in attempts:
+        query.on_sent(0.0, attempt.attempt_id)
+    assert not fakes.sends(query.on_timer(0.1))
+    for attempt in attempts[:5]:
+        query.on_reply(0.15, attempt.attempt_id, fakes.reply(attempt))
+    assert len(fakes.sends(query.on_timer(0.2))) == 5
+
+
+def test_hedge_without_budget_is_tried_again() -> None:
+    """Guards against a straggler that is never hedged after one refused token."""
+    budget = fakes.CountedBudget(0)
+    placement = {0: ("a", "b")}
+    query = fanout.Fanout(
+        fakes.plan(placement),
+        fakes.FirstReplicaRouter(placement),
+        fakes.FixedHedging(0.1),
+        budget,
+        fakes.FixedSource(),
+    )
+    query.start(0.0)
+    query.on_sent(0.0, 1)
+    assert not fakes.sends(query.on_timer(0.1))
+    budget.tokens = 1
+    assert len(fakes.sends(query.on_timer(0.2))) == 1
+
+
 def test_failed_attempt_is_retried_on_another_replica() -> None:
     """Guards against missing shards although another replica is up."""
     query = _fanout()
