Save more hedge budget and hedge later while it is scarce

Change: the hedge delay is at most 2.5 instead of 4 medians, the percentile is used only while over half of the burst is left, and the burst is 60 instead of 10 tokens.

--- a/jackdawpass/process/budget.py
+++ b/jackdawpass/process/budget.py
@@ -2,7 +2,9 @@
 
 import typing
 
-BURST_TOKENS = 10.0
+# Each query needs about one hedge per 20 of its stragglers for a hedge that straggles
+# as well, which the share does not earn when it equals the share of stragglers.
+BURST_TOKENS = 60.0
 # Kept for retries: no hedge is planned when fewer tokens than this are left.
 RETRY_TOKENS = 4.0
 # While the whole service is slow, only this reserve pays, for the few retries that a
@@ -83,6 +85,11 @@
         """True while there is budget left beyond what retries need."""
         return not self._slowness.slow and self._open.tokens >= RETRY_TOKENS
 
+    @property
+    def scarce(self) -> bool:
+        """True while less than half of the burst is left."""
+        return self._open.tokens < BURST_TOKENS / 2
+
     def on_first_attempts(self, now: float, count: int) -> None:
         """Note first attempts, which earn budget."""
         earned = self._share * count
--- a/jackdawpass/process/hedging.py
+++ b/jackdawpass/process/hedging.py
@@ -6,8 +6,9 @@
 
 FLOOR_SECONDS = 0.002
 # With more stragglers than the percentile leaves out, the percentile is a straggler's
-# latency and would come too late.
-MAX_MEDIAN_RATIO = 4.0
+# latency and would come too late. With about as many, it is an ordinary latency, and
+# hedges of ordinary attempts would use up the budget.
+MAX_MEDIAN_RATIO = 2.5
 
 
 class NoHedging:
@@ -25,6 +26,10 @@
     def allows_hedges(self) -> bool:
         """True while there is budget left beyond what retries need."""
 
+    @property
+    def scarce(self) -> bool:
+        """True while hedges use up the budget faster than it is earned."""
+
 
 class PercentileHedging:
     """Hedges after a percentile of the service's recent latencies.
@@ -57,4 +62,6 @@
             return None
         tracked = self._recent.percentile(self._percentile)
         bound = MAX_MEDIAN_RATIO * self._recent.percentile(50)
-        return max(FLOOR_SECONDS, min(tracked, bound))
+        if not self._allowance.scarce:
+            bound = min(tracked, bound)
+        return max(FLOOR_SECONDS, bound)
--- a/tests/process/test_budget.py
+++ b/tests/process/test_budget.py
@@ -78,6 +78,26 @@
     assert 0.004 <= delay <= 0.004 * hedging.MAX_MEDIAN_RATIO
 
 
+def test_scarce_budget_pays_for_stragglers_only() -> None:
+    """Guards against hedges of ordinary attempts that use up the whole budget.
+
+    With 5% stragglers the 95th percentile is the latency of an ordinary attempt.
+    """
+    recent = latencies.ServiceLatencies()
+    generator = random.Random(1)
+    for step in range(500):
+        recent.add(step * 0.001, 0.004 * generator.lognormvariate(0, 0.3))
+    extra = budget.ServiceBudget(0.05, recent)
+    plan = hedging.PercentileHedging(recent, extra, 95.0)
+    early = plan.delay(1.0, "t")
+    while not extra.scarce:
+        assert extra.try_spend(1.0)
+    late = plan.delay(1.0, "t")
+    assert early is not None
+    assert late is not None
+    assert late == hedging.MAX_MEDIAN_RATIO * recent.percentile(50) > early
+
+
 def test_hedge_needs_samples_and_keeps_a_floor() -> None:
     """Guards against hedges on no evidence, or on every attempt of a fast service."""
     recent = latencies.ServiceLatencies()
