--- a/jackdawpass/process/policy.py
+++ b/jackdawpass/process/policy.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing
 
-from jackdawpass.process import budget, hedging, routing
+from jackdawpass.process import budget, hedging, membership, routing
 from jackdawpass.request import machine, model
 from jackdawpass.version import catalog
 
@@ -67,6 +67,15 @@
     def apply(self, now: float, current: catalog.Catalog) -> None:
         """Take over a new catalog and keep what was learned of kept targets."""
 
+    def on_members(self, now: float, view: membership.MembersView) -> None:
+        """Take over the number of entry instances and the leaving targets."""
+
+    def take_due_probes(self, now: float) -> tuple[str, ...]:
+        """Return the draining targets whose health is to be asked for now."""
+
+    def on_probe(self, now: float, target: str, ready: bool) -> None:
+        """Note whether a draining target says that it accepts work."""
+
     def router(
         self, service: catalog.Service, shard_map: catalog.ShardMap
     ) -> machine.Router:
@@ -142,6 +151,16 @@
         """Return True, since no wait is expected."""
         return True
 
+    def on_members(self, now: float, view: membership.MembersView) -> None:
+        """Ignore the members."""
+
+    def take_due_probes(self, now: float) -> tuple[str, ...]:
+        """Return no targets."""
+        return ()
+
+    def on_probe(self, now: float, target: str, ready: bool) -> None:
+        """Ignore the result."""
+
     def on_submitted(self, now: float, attempt: model.Attempt) -> None:
         """Ignore the attempt."""
 
--- a/jackdawpass/request/fanout.py
+++ b/jackdawpass/request/fanout.py
@@ -1,9 +1,8 @@
 """State machine of one idempotent query over many shards."""
 
 import dataclasses
-import math
 
-from jackdawpass.request import machine, merge, model, problems, refusals
+from jackdawpass.request import machine, merge, model, outstanding, problems, refusals
 
 _WRONG_SNAPSHOT = model.AttemptFailure(
     model.FailureKind.SNAPSHOT_NOT_HELD, model.Execution.MAY_HAVE_RUN
@@ -13,12 +12,6 @@
 MIN_UNANSWERED = 4
 
 
-@dataclasses.dataclass(slots=True)
-class _Outstanding:
-    attempt: model.Attempt
-    hedge_at: float | None = None
-
-
 class Fanout:
     """Sends sub-requests, hedges and retries them, and merges their replies.
 
@@ -50,10 +43,12 @@
         self._budget = budget
         self._source = source
         self._merge = merge.Merge(plan.shards)
-        self._outstanding: dict[int, _Outstanding] = {}
+        self._outstanding = outstanding.Outstanding()
         self._excluded: dict[int, set[str]] = {}
         self._reasons: dict[int, model.MissingReason] = {}
         self._snapshot_lost: set[int] = set()
+        # Uncovered shards that no outstanding attempt can cover.
+        self._unreachable = set(plan.shards)
         self._last_failure: model.AttemptFailure | None = None
         # Attempts that a target may have run; empty means that nothing ran.
         self._may_have_run: set[int] = set()
@@ -74,20 +69,6 @@
         """The pinned snapshot."""
         return self._plan.snapshot
 
-    @property
-    def _is_mostly_unanswered(self) -> bool:
-        """True while so much is unanswered that no single target is to blame.
-
-        The whole service or this instance is slow then, and hedges only add load.
-        """
-        unanswered = sum(
-            entry.attempt.kind is model.AttemptKind.FIRST
-            for entry in self._outstanding.values()
-        )
-        return unanswered > max(
-            MIN_UNANSWERED, MAX_UNANSWERED_SHARE * self._first_attempts
-        )
-
     def start(self, now: float) -> machine.Actions:
         """Send the first attempts."""
         assignments = self._assign_all(now)
@@ -99,14 +80,10 @@
     def on_sent(self, now: float, attempt_id: int) -> machine.Actions:
         """Note that bytes of an attempt may have been read; schedule its hedge."""
         self._may_have_run.add(attempt_id)
-        entry = self._outstanding.get(attempt_id)
-        if entry is None or self._finished:
-            return ()
-        self._plan_hedge(now, entry)
-        if entry.hedge_at is None or (self._wake_at or math.inf) <= entry.hedge_at:
+        attempt = self._outstanding.get(attempt_id)
+        if attempt is None or not self._plan_hedge(now, attempt):
             return ()
-        self._wake_at = entry.hedge_at
-        return (machine.WakeAt(entry.hedge_at),)
+        return self._wake()
 
     def on_reply(
         self, now: float, attempt_id: int, reply: model.SubReply
@@ -117,12 +94,12 @@
             return ()
         if reply.snapshot != self._plan.snapshot:
             return self.on_failure(now, attempt_id, _WRONG_SNAPSHOT)
-        attempt = self._outstanding.pop(attempt_id).attempt
-        for shard in attempt.shards:
-            if shard in reply.shards:
-                self._merge.add(shard, reply.shards[shard])
-        actions = self._cancel_superseded()
-        omitted = attempt.shards - reply.shards.keys()
+        attempt = self._outstanding.pop(attempt_id)
+        covered = attempt.shards & reply.shards.keys()
+        for shard in covered:
+            self._merge.add(shard, reply.shards[shard])
+        actions = self._cancel_superseded(covered)
+        omitted = attempt.shards - covered
         if omitted:
             failure = model.AttemptFailure(
                 model.FailureKind.TARGET_FAILED, model.Execution.MAY_HAVE_RUN
@@ -140,7 +117,7 @@
             self._may_have_run.discard(attempt_id)
         if self._finished or attempt_id not in self._outstanding:
             return ()
-        attempt = self._outstanding.pop(attempt_id).attempt
+        attempt = self._outstanding.pop(attempt_id)
         actions = self._recover(now, attempt.target, attempt.shards, failure)
         return self._conclude(now, actions)
 
@@ -193,7 +170,8 @@
             kind=kind,
         )
         self._next_attempt_id += 1
-        self._outstanding[attempt.attempt_id] = _Outstanding(attempt)
+        self._outstanding.add(attempt)
+        self._unreachable -= attempt.shards
         for shard in assignment.shards:
             self._excluded.setdefault(shard, set()).add(assignment.target)
         return attempt
@@ -206,8 +184,10 @@
         failure: model.AttemptFailure,
     ) -> machine.Actions:
         self._last_failure = failure
-        orphans = (shards & self._merge.uncovered) - self._carried()
-        for shard in shards & self._merge.uncovered:
+        uncovered = shards & self._merge.uncovered
+        orphans = frozenset(s for s in uncovered if not self._outstanding.carries(s))
+        self._unreachable |= orphans
+        for shard in uncovered:
             self._reasons[shard] = refusals.missing_reason(failure)
             if failure.kind in refusals.SNAPSHOT_FAILURES:
                 self._snapshot_lost.add(shard)
@@ -236,6 +216,7 @@
         )
         self._router = pinned.router
         self._merge = merge.Merge(pinned.shards)
+        self._unreachable = set(pinned.shards)
         self._excluded.clear()
         self._reasons.clear()
         self._snapshot_lost.clear()
@@ -244,50 +225,45 @@
 
     def _send_hedges(self, now: float) -> machine.Actions:
         actions: machine.Actions = ()
-        due = [
-            entry
-            for entry in self._outstanding.values()
-            if entry.hedge_at is not None and entry.hedge_at <= now
-        ]
-        if self._is_mostly_unanswered:
-            for entry in due:
-                self._plan_hedge(now, entry)
-            return ()
-        for entry in due:
-            entry.hedge_at = None
-            shards = entry.attempt.shards & self._merge.uncovered
+        is_mostly_unanswered = self._is_mostly_unanswered()
+        for attempt in self._outstanding.pop_due_hedges(now):
+            if is_mostly_unanswered:
+                self._plan_hedge(now, attempt)
+                continue
+            shards = attempt.shards & self._merge.uncovered
             for assignment in self._router.assign(now, shards, self._excluded):
                 if self._budget.try_spend(now):
                     actions += self._send((assignment,), model.AttemptKind.HEDGE)
                 else:
-                    self._plan_hedge(now, entry)
+                    self._plan_hedge(now, attempt)
         return actions
 
-    def _plan_hedge(self, now: float, entry: _Outstanding) -> None:
-        delay = self._hedging.delay(now, entry.attempt.target)
-        entry.hedge_at = None if delay is None else now + delay
+    def _plan_hedge(self, now: float, attempt: model.Attempt) -> bool:
+        delay = self._hedging.delay(now, attempt.target)
+        if delay is None:
+            return False
+        self._outstanding.schedule_hedge(attempt.attempt_id, now + delay)
+        return True
+
+    def _is_mostly_unanswered(self) -> bool:
+        """Return True while so much is unanswered that no single target is to blame.
 
-    def _carried(self) -> frozenset[int]:
-        """Return the shards that an outstanding attempt may still cover."""
-        return frozenset[int]().union(
-            *(entry.attempt.shards for entry in self._outstanding.values())
+        The whole service or this instance is slow then, and hedges only add load.
+        """
+        unanswered = sum(
+            attempt.kind is model.AttemptKind.FIRST
+            for attempt in self._outstanding.attempts
+        )
+        return unanswered > max(
+            MIN_UNANSWERED, MAX_UNANSWERED_SHARE * self._first_attempts
         )
 
-    def _cancel_superseded(self) -> machine.Actions:
-        uncovered = self._merge.uncovered
-        superseded = [
-            attempt_id
-            for attempt_id, entry in self._outstanding.items()
-            if not entry.attempt.shards & uncovered
-        ]
-        for attempt_id in superseded:
-            del self._outstanding[attempt_id]
+    def _cancel_superseded(self, covered: frozenset[int]) -> machine.Actions:
+        superseded = self._outstanding.pop_superseded(covered, self._merge.uncovered)
         return tuple(machine.Cancel(attempt_id) for attempt_id in superseded)
 
     def _cancel_all(self) -> machine.Actions:
-        cancels = tuple(machine.Cancel(attempt_id) for attempt_id in self._outstanding)
-        self._outstanding.clear()
-        return cancels
+        return tuple(machine.Cancel(each) for each in self._outstanding.clear())
 
     def _conclude(self, now: float, actions: machine.Actions) -> machine.Actions:
         """Finish when nothing is left to wait for; otherwise set the timer."""
@@ -297,7 +273,7 @@
                 a.attempt.attempt_id for a in actions if isinstance(a, machine.Send)
             }
             for attempt_id in sends:
-                self._outstanding.pop(attempt_id, None)
+                self._outstanding.pop(attempt_id)
             kept = tuple(a for a in actions if not isinstance(a, machine.Send))
             return kept + self._finish()
         return actions + self._wake()
@@ -305,7 +281,9 @@
     def _is_over(self, now: float) -> bool:
         if not self._outstanding or not self._merge.uncovered:
             return True
-        if self._plan.min_coverage > 0 and not self._may_reach_coverage():
+        total = len(self._plan.shards)
+        best = (total - len(self._unreachable)) / total
+        if best < self._plan.min_coverage:
             return True
         early_after = self._plan.early_after
         enough = max(self._plan.early_coverage, self._plan.min_coverage)
@@ -315,29 +293,18 @@
             and self._merge.ratio >= enough
         )
 
-    def _may_reach_coverage(self) -> bool:
-        reachable = self._merge.uncovered & self._carried()
-        total = len(self._plan.shards)
-        best = (total - len(self._merge.uncovered) + len(reachable)) / total
-        return best >= self._plan.min_coverage
-
     def _wake(self) -> machine.Actions:
-        """Set the timer unless it is set.
-
-        A timer that an answered attempt no longer needs is left: looking for the next
-        one at each reply took a fifth of the decisions' processor time.
-        """
-        if self._wake_at is not None:
+        times = (self._plan.deadline, self._early_at, self._outstanding.next_hedge())
+        at = min(time for time in times if time is not None)
+        if at == self._wake_at:
             return ()
-        times = [entry.hedge_at for entry in self._outstanding.values()]
-        times += [self._plan.deadline, self._early_at]
-        self._wake_at = min(time for time in times if time is not None)
-        return (machine.WakeAt(self._wake_at),)
+        self._wake_at = at
+        return (machine.WakeAt(at),)
 
     def _finish(self) -> machine.Actions:
         self._finished = True
-        for entry in self._outstanding.values():
-            for shard in entry.attempt.shards:
+        for attempt in self._outstanding.attempts:
+            for shard in attempt.shards:
                 self._reasons[shard] = model.MissingReason.TIMED_OUT
         return (*self._cancel_all(), machine.Finish(self._outcome()))
 
