List the draining target as leaving in the draining experiment

Cause: after 3 s the drained target still received 2 sub-requests in one round. The platform's list, which names leaving targets, was empty in the experiment, so an instance of another zone learned of the drain from its own first sub-request only. Change: the event also lists the target as leaving, as the platform does.

--- a/jackdawpass/bench/cluster.py
+++ b/jackdawpass/bench/cluster.py
@@ -142,6 +142,23 @@
         """Replace the faults of a target."""
         self.control(name, "faults", faults)
 
+    def list_leaving(self, *names: str) -> None:
+        """Show these targets, and no others, as leaving in the platform's list."""
+        instances = [
+            {
+                "id": name,
+                "role": "target",
+                "zone": self._sizes.zone_of[name],
+                "address": f"127.0.0.1:{self._ports[name]}",
+                "state": "leaving",
+            }
+            for name in names
+        ]
+        url = f"{self._platform.url}/control/instances"
+        status, reply = processes.call("POST", url, {"instances": instances})
+        if status != 200:
+            raise RuntimeError(f"the list of instances failed: {status} {reply!r}")
+
     def received(self) -> int:
         """Return the number of sub-requests that all targets received so far."""
         totals = self.control_all("totals").values()
--- a/jackdawpass/bench/experiments/draining.py
+++ b/jackdawpass/bench/experiments/draining.py
@@ -7,6 +7,8 @@
 
 def _drain(current: experiment.Round) -> None:
     current.running.faults(DRAINING, draining=True)
+    # An instance that sends the target nothing learns of the drain from the list only.
+    current.running.list_leaving(DRAINING)
 
 
 def _received(current: experiment.Round) -> int:
--- a/jackdawpass/bench/runner.py
+++ b/jackdawpass/bench/runner.py
@@ -106,6 +106,7 @@
 def _restore(running: cluster.Cluster) -> None:
     """Undo what events did, so that each round starts alike."""
     running.control_all("faults")
+    running.list_leaving()
     running.control_all(
         "options", {"cold_seconds": 0.0, "cold_factor": running.sizes.cold_factor}
     )
