--- a/jackdawpass/request/fanout.py
+++ b/jackdawpass/request/fanout.py
@@ -2,23 +2,14 @@
 
 import dataclasses
 
-from jackdawpass.request import machine, merge, model, outstanding, problems
+from jackdawpass.request import machine, merge, model, outstanding, problems, refusals
 
-_SNAPSHOT_FAILURES = frozenset(
-    (model.FailureKind.SNAPSHOT_NOT_HELD, model.FailureKind.SHARD_MOVED)
-)
-_REFUSALS = frozenset(
-    (
-        model.FailureKind.QUEUE_FULL,
-        model.FailureKind.SHED,
-        model.FailureKind.DRAINING,
-        model.FailureKind.COLD,
-    )
-)
 _WRONG_SNAPSHOT = model.AttemptFailure(
     model.FailureKind.SNAPSHOT_NOT_HELD, model.Execution.MAY_HAVE_RUN
 )
-RETRY_AFTER_SECONDS = 1.0
+# With more than this share of a query's first attempts unanswered, none is hedged.
+MAX_UNANSWERED_SHARE = 0.5
+MIN_UNANSWERED = 4
 
 
 class Fanout:
@@ -62,6 +53,7 @@
         # Attempts that a target may have run; empty means that nothing ran.
         self._may_have_run: set[int] = set()
         self._next_attempt_id = 1
+        self._first_attempts = 0
         self._restarted = False
         self._finished = False
         self._wake_at: float | None = None
@@ -80,6 +72,7 @@
     def start(self, now: float) -> machine.Actions:
         """Send the first attempts."""
         assignments = self._assign_all(now)
+        self._first_attempts = len(assignments)
         self._budget.on_first_attempts(now, len(assignments))
         actions = self._send(assignments, model.AttemptKind.FIRST)
         return self._conclude(now, actions)
@@ -88,12 +81,8 @@
         """Note that bytes of an attempt may have been read; schedule its hedge."""
         self._may_have_run.add(attempt_id)
         attempt = self._outstanding.get(attempt_id)
-        if attempt is None or attempt.kind is model.AttemptKind.HEDGE:
-            return ()
-        delay = self._hedging.delay(now, attempt.target)
-        if delay is None:
+        if attempt is None or not self._plan_hedge(now, attempt):
             return ()
-        self._outstanding.schedule_hedge(attempt_id, now + delay)
         return self._wake()
 
     def on_reply(
@@ -199,8 +188,8 @@
         orphans = frozenset(s for s in uncovered if not self._outstanding.carries(s))
         self._unreachable |= orphans
         for shard in uncovered:
-            self._reasons[shard] = _reason(failure)
-            if failure.kind in _SNAPSHOT_FAILURES:
+            self._reasons[shard] = refusals.missing_reason(failure)
+            if failure.kind in refusals.SNAPSHOT_FAILURES:
                 self._snapshot_lost.add(shard)
         assignments = self._router.assign(now, orphans, self._excluded)
         retried = frozenset[int]().union(*(entry.shards for entry in assignments))
@@ -236,13 +225,39 @@
 
     def _send_hedges(self, now: float) -> machine.Actions:
         actions: machine.Actions = ()
+        is_mostly_unanswered = self._is_mostly_unanswered()
         for attempt in self._outstanding.pop_due_hedges(now):
+            if is_mostly_unanswered:
+                self._plan_hedge(now, attempt)
+                continue
             shards = attempt.shards & self._merge.uncovered
             for assignment in self._router.assign(now, shards, self._excluded):
                 if self._budget.try_spend(now):
                     actions += self._send((assignment,), model.AttemptKind.HEDGE)
+                else:
+                    self._plan_hedge(now, attempt)
         return actions
 
+    def _plan_hedge(self, now: float, attempt: model.Attempt) -> bool:
+        delay = self._hedging.delay(now, attempt.target)
+        if delay is None:
+            return False
+        self._outstanding.schedule_hedge(attempt.attempt_id, now + delay)
+        return True
+
+    def _is_mostly_unanswered(self) -> bool:
+        """Return True while so much is unanswered that no single target is to blame.
+
+        The whole service or this instance is slow then, and hedges only add load.
+        """
+        unanswered = sum(
+            attempt.kind is model.AttemptKind.FIRST
+            for attempt in self._outstanding.attempts
+        )
+        return unanswered > max(
+            MIN_UNANSWERED, MAX_UNANSWERED_SHARE * self._first_attempts
+        )
+
     def _cancel_superseded(self, covered: frozenset[int]) -> machine.Actions:
         superseded = self._outstanding.pop_superseded(covered, self._merge.uncovered)
         return tuple(machine.Cancel(attempt_id) for attempt_id in superseded)
@@ -304,7 +319,7 @@
                 self._merge.top(self._plan.limit),
             )
         if not self._may_have_run:
-            return self._not_run()
+            return refusals.not_run(self._last_failure, self._next_attempt_id > 1)
         detail = (
             f"{coverage.covered} of {coverage.shards} shards answered in time; "
             "allow a longer timeout_ms, accept a lower min_coverage, or retry"
@@ -313,44 +328,6 @@
             problems.ProblemKind.COVERAGE_TOO_LOW,
             model.Outcome.INCOMPLETE,
             detail,
-            RETRY_AFTER_SECONDS,
+            refusals.RETRY_AFTER_SECONDS,
             coverage,
         )
-
-    def _not_run(self) -> problems.Problem:
-        failure = self._last_failure
-        if failure is None and self._next_attempt_id == 1:
-            return problems.not_run(
-                problems.ProblemKind.NO_TARGET,
-                "no target holds a shard of the published snapshot; check that the "
-                "service's targets are up and hold it",
-                RETRY_AFTER_SECONDS,
-            )
-        if failure is None or failure.kind is model.FailureKind.QUEUE_EXPIRED:
-            return problems.not_run(
-                problems.ProblemKind.DEADLINE_EXCEEDED,
-                "the deadline passed before a target was free; "
-                "allow a longer timeout_ms or retry later",
-                RETRY_AFTER_SECONDS,
-            )
-        if failure.kind in _REFUSALS:
-            return problems.not_run(
-                problems.ProblemKind.OVERLOADED,
-                "the service's targets accept no more work; retry later",
-                max(failure.retry_after, RETRY_AFTER_SECONDS),
-            )
-        return problems.not_run(
-            problems.ProblemKind.NO_TARGET,
-            "no target of the service could be reached; check that they are up",
-            RETRY_AFTER_SECONDS,
-        )
-
-
-def _reason(failure: model.AttemptFailure) -> model.MissingReason:
-    if failure.kind in _SNAPSHOT_FAILURES:
-        return model.MissingReason.SNAPSHOT_GONE
-    if failure.kind in _REFUSALS:
-        return model.MissingReason.REFUSED
-    if failure.kind in (model.FailureKind.TIMED_OUT, model.FailureKind.QUEUE_EXPIRED):
-        return model.MissingReason.TIMED_OUT
-    return model.MissingReason.FAILED
