Build the product as one executable file

Cause: instances have no disk and no shared environment, and one-file bundlers unpack to a directory or start a parent process.

Change: make binary links a launcher with the static CPython library and appends a zip archive of byte code; extension modules are loaded from sealed memory files. make binary-check refuses child processes and files opened for writing. bench in the executable names the environment that it needs instead of a traceback.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint types unit mutations binary clean
+.PHONY: setup demo test lint types unit mutations binary binary-check clean
 
 setup: $(VENV)/.installed
 
@@ -31,5 +31,12 @@
 mutations: setup
 	$(BIN)/python -m tests.mutations
 
+# Needs gcc and the static CPython library, so neither is part of `test`.
+binary:
+	$(PYTHON) -m binary.build
+
+binary-check: binary
+	$(PYTHON) -m binary.check
+
 clean:
 	rm -rf $(VENV) build dist
--- /dev/null
+++ b/binary/__init__.py
@@ -0,0 +1,1 @@
+"""Builds and checks the one executable file of the product."""
--- /dev/null
+++ b/binary/extensions.py
@@ -0,0 +1,66 @@
+"""Imports extension modules stored in the executable; stored as `_extensions`.
+
+The system's loader accepts only files, and the product has no disk. Each
+module is therefore copied into an anonymous memory file of this process and
+loaded from there.
+"""
+
+import collections.abc
+import importlib.machinery
+import types
+import zipimport
+
+import _launcher
+
+# The C library belongs to the system; `build.py` stores these libraries too.
+LIBRARIES = ("libz.so.1", "libgcc_s.so.1")
+
+
+def _copy_to_memory(name: str, image: bytes) -> str:
+    return f"/proc/self/fd/{_launcher.copy_to_memory(name, image)}"
+
+
+class Loader(importlib.machinery.ExtensionFileLoader):
+    """Loads one extension module from its image."""
+
+    def __init__(self, name: str, image: bytes) -> None:
+        super().__init__(name, f"{name}.so")
+        self._image = image
+
+    def create_module(self, spec: importlib.machinery.ModuleSpec) -> types.ModuleType:
+        """Copy the image into memory and load the module."""
+        self.path = spec.origin = _copy_to_memory(spec.name, self._image)
+        self._image = b""
+        return super().create_module(spec)
+
+
+class Finder:
+    """Finds the extension modules that the executable holds."""
+
+    def __init__(self, archive: zipimport.zipimporter) -> None:
+        self._archive = archive
+
+    def load_libraries(self) -> None:
+        """Load the libraries that extension modules depend on."""
+        for name in LIBRARIES:
+            image = self._read(f"libraries/{name}")
+            if image is not None:
+                _launcher.load_library(_copy_to_memory(name, image))
+
+    def find_spec(
+        self,
+        fullname: str,
+        path: collections.abc.Sequence[str] | None = None,
+        target: types.ModuleType | None = None,
+    ) -> importlib.machinery.ModuleSpec | None:
+        """Return the specification of a stored extension module."""
+        image = self._read(f"extensions/{fullname}.so")
+        if image is None:
+            return None
+        return importlib.machinery.ModuleSpec(fullname, Loader(fullname, image))
+
+    def _read(self, name: str) -> bytes | None:
+        try:
+            return self._archive.get_data(f"{self._archive.archive}/{name}")
+        except OSError:
+            return None
--- a/jackdawpass/commands/bench.py
+++ b/jackdawpass/commands/bench.py
@@ -6,6 +6,8 @@
 import sys
 import typing
 
+from jackdawpass.commands import console
+
 
 def add_parser(subparsers: typing.Any) -> None:
     """Add the command to the parser."""
@@ -27,7 +29,13 @@
 def run(arguments: argparse.Namespace) -> int:
     """Run one experiment; return 2 when there is none of that name."""
     # Imported here, since matplotlib would cost every other command time and memory.
-    from jackdawpass.bench import suite
+    try:
+        from jackdawpass.bench import suite
+    except ModuleNotFoundError as error:
+        raise console.Failed(
+            f"cannot run experiments, since {error.name!r} is not part of the product; "
+            "run this command in the developers' environment (`make setup`)"
+        ) from None
 
     titles = suite.titles()
     if arguments.list:
