Make the time line page readable without colour and on dark paper

Cause: hedges, retries and waiting differed only in colour, tick labels were odd numbers such as 8.07 ms, labels of close version changes could overlap, and a dark browser showed a white page.

--- a/jackdawpass/timeline/render_html.py
+++ b/jackdawpass/timeline/render_html.py
@@ -3,9 +3,10 @@
 import collections.abc
 import datetime
 import html
+import math
 
 from jackdawpass.process import events
-from jackdawpass.timeline import merge, render_text, spans
+from jackdawpass.timeline import merge, page_style, render_text, spans
 
 LABEL_WIDTH_PX = 230
 PLOT_WIDTH_PX = 940
@@ -14,30 +15,10 @@
 HEADER_HEIGHT_PX = 30
 # A page with more rows is slow to open and no longer read at a glance.
 MAX_ROWS = 2000
-TICKS = 8
-
-_STYLE = """
-body{font:14px system-ui,sans-serif;margin:20px;color:#1c2733;background:#fff}
-svg{font:11px system-ui,sans-serif}
-.lane{fill:#eef2f6}.name{font-weight:600}.grid{stroke:#dde3ea}
-.request{fill:#c9d2dc}.bad{fill:#e9b5ad}
-.first{fill:#4a7fb5}.hedge{fill:#e2952b}.retry{fill:#8a56b0}.restart{fill:#2f9c86}
-.other{fill:#8b97a3}.wait{opacity:.35}
-.cancelled{fill:none;stroke:#1c2733;stroke-width:1.5}
-.failed{fill:#c62f1f;font-weight:700}
-.version{stroke:#1f8a3b;stroke-dasharray:4 3}.drain{stroke:#c62f1f}
-.other-mark{stroke:#8b97a3}
-.legend span{margin-right:16px}.legend svg{vertical-align:middle;margin-right:4px}
-table{border-collapse:collapse;margin-top:8px}
-td,th{padding:1px 10px 1px 0;text-align:left;font-family:ui-monospace,monospace;
-font-size:12px}td.n{text-align:right}
-"""
-_LEGEND = (
-    ("first", "first attempt"),
-    ("hedge", "hedge"),
-    ("retry", "retry"),
-    ("restart", "restart"),
-)
+MOST_TICKS = 10
+# Average width of a character of the labels; labels are placed without a browser.
+CHARACTER_PX = 6.3
+
 _MARK_CLASSES = {
     events.Kind.VERSION_IN_FORCE: "version",
     events.Kind.DRAIN_STARTED: "drain",
@@ -45,6 +26,12 @@
     events.Kind.STOPPED: "drain",
 }
 
+_MARK_TEXTS = {
+    events.Kind.DRAIN_STARTED: "drain",
+    events.Kind.LISTENING_STOPPED: "port closed",
+    events.Kind.STOPPED: "stopped",
+}
+
 
 def render(timeline: merge.Timeline) -> str:
     """Return the page: lanes per process, then the table of events."""
@@ -61,7 +48,7 @@
         f"processes from {start.isoformat(timespec='milliseconds')}, "
         f"{(last - first) * 1000:.1f} ms.</p>"
     )
-    body.append(_legend())
+    body.append(page_style.legend())
     body.extend(_Plot(first, last).draw(spans.lanes(timeline.entries)))
     body.extend(_table(timeline.entries, first))
     return _page(body)
@@ -70,27 +57,19 @@
 def _page(body: collections.abc.Iterable[str]) -> str:
     return (
         '<!DOCTYPE html>\n<html lang="en"><head><meta charset="utf-8">'
-        f"<title>Time line</title><style>{_STYLE}</style></head><body>\n"
+        f"<title>Time line</title><style>{page_style.STYLE}</style></head><body>\n"
         + "\n".join(body)
         + "\n</body></html>\n"
     )
 
 
-def _legend() -> str:
-    swatches = [
-        f'<span><svg width="14" height="10"><rect width="14" height="10" '
-        f'class="{name}"/></svg>{text}</span>'
-        for name, text in _LEGEND
-    ]
-    notes = (
-        "<span>pale: waiting in the queue</span><span>outlined \u00d7: cancelled</span>"
-        "<span>red !: failed</span>"
-        '<span><svg width="14" height="10"><path d="M7 0V10" class="version"/></svg>'
-        "configuration version</span>"
-        '<span><svg width="14" height="10"><path d="M7 0V10" class="drain"/></svg>'
-        "drain or stop</span>"
-    )
-    return f'<p class="legend">{"".join(swatches)}{notes}</p>'
+def _tick_step(span_ms: float) -> float:
+    """Return a step of 1, 2 or 5 times a power of ten."""
+    power = 10 ** math.floor(math.log10(span_ms / MOST_TICKS))
+    for factor in (1, 2, 5):
+        if span_ms / (factor * power) <= MOST_TICKS:
+            return factor * power
+    return 10 * power
 
 
 class _Plot:
@@ -102,6 +81,8 @@
         self._y = HEADER_HEIGHT_PX
         self._rows = 0
         self._shapes: list[str] = []
+        # Drawn last, so that no bar or line covers them.
+        self._labels: list[str] = []
 
     def draw(self, lanes: collections.abc.Iterable[spans.Lane]) -> list[str]:
         """Return the lines of the picture."""
@@ -109,20 +90,22 @@
             self._lane(lane)
         width = LABEL_WIDTH_PX + PLOT_WIDTH_PX + RIGHT_MARGIN_PX
         lines = [f'<svg width="{width}" height="{self._y + 10}" role="img">']
-        lines += [*self._grid(), *self._shapes, "</svg>"]
+        lines += [page_style.PATTERNS, *self._grid(), *self._shapes]
+        lines += [*self._labels, "</svg>"]
         if self._rows > MAX_ROWS:
             hidden = self._rows - MAX_ROWS
             lines.append(f"<p>{hidden} rows are not drawn; use a filter.</p>")
         return lines
 
     def _grid(self) -> collections.abc.Iterator[str]:
-        for tick in range(TICKS + 1):
-            x = LABEL_WIDTH_PX + PLOT_WIDTH_PX * tick / TICKS
-            milliseconds = (x - LABEL_WIDTH_PX) / self._scale * 1000
+        span_ms = PLOT_WIDTH_PX / self._scale * 1000
+        step = _tick_step(span_ms)
+        for tick in range(math.floor(span_ms / step) + 1):
+            x = self._x(self._first + tick * step / 1000)
             yield f'<path d="M{x:.1f} 18V{self._y}" class="grid"/>'
             yield (
                 f'<text x="{x:.1f}" y="12" text-anchor="middle">'
-                f"{milliseconds:.3g} ms</text>"
+                f"{tick * step:g} ms</text>"
             )
 
     def _x(self, at: float) -> float:
@@ -139,8 +122,9 @@
         self._y += ROW_HEIGHT_PX + 6
         for request in lane.requests.values():
             self._request(request)
+        label_from = 0.0
         for entry in lane.marks:
-            self._mark(entry, top)
+            label_from = self._mark(entry, top, label_from)
         self._y += 10
 
     def _row(self) -> bool:
@@ -156,8 +140,7 @@
             title = f"{label}: {request.outcome or 'running'}"
             kind = "bad" if bad else "request"
             self._bar(request.began_at, request.ended_at, kind, title)
-            end = self._x(request.ended_at) + 4
-            self._text(end, self._y + 11, request.outcome)
+            self._end_text(request.began_at, request.ended_at, request.outcome)
             self._y += ROW_HEIGHT_PX
         for attempt in request.attempts.values():
             self._attempt(attempt, request.ended_at)
@@ -173,18 +156,19 @@
         label = f"{attempt.attempt_id} {kind} {attempt.target}"
         title = f"{label}: {attempt.end or 'no end'} {attempt.detail}".strip()
         self._text(20, self._y + 11, label)
-        self._bar(attempt.queued_at, sent_at, f"{kind} wait", title)
+        self._bar(attempt.queued_at, sent_at, kind, title, waits=True)
         if attempt.sent_at is not None:
             self._bar(sent_at, ended_at, kind, title)
-        x = self._x(ended_at)
         if attempt.end == "cancelled":
             self._bar(attempt.queued_at, ended_at, "cancelled", title)
-            self._text(x + 4, self._y + 11, "\u00d7")
+            self._end_text(attempt.queued_at, ended_at, "\u00d7 cancelled")
         elif attempt.end == "failed":
-            self._text(x + 4, self._y + 11, f"! {attempt.detail}", "failed")
+            text = f"! {attempt.detail}"
+            self._end_text(attempt.queued_at, ended_at, text, "failed")
         self._y += ROW_HEIGHT_PX
 
-    def _mark(self, entry: merge.Entry, top: float) -> None:
+    def _mark(self, entry: merge.Entry, top: float, label_from: float) -> float:
+        """Draw a mark; return where the label of the next one may begin."""
         event = entry.event
         x = self._x(entry.at)
         kind = _MARK_CLASSES.get(event.kind, "other-mark")
@@ -193,26 +177,47 @@
             f'<path d="M{x:.1f} {top}V{self._y}" class="{kind}">'
             f"<title>{title}</title></path>"
         )
-        if event.kind is events.Kind.VERSION_IN_FORCE:
-            self._text(x + 3, top + 13, f"v{event.detail}")
-        elif event.kind is events.Kind.DRAIN_STARTED:
-            self._text(x + 3, top + 13, "drain")
-
-    def _bar(self, begin: float, end: float, kind: str, title: str) -> None:
+        if kind == "other-mark":
+            return label_from
+        self._shapes.append(page_style.mark_head(x, top + 4, kind))
+        text = _mark_text(event)
+        begin = max(x + 8, label_from)
+        self._text(begin, top + 13, text, "mark-label")
+        # The next mark keeps clear of this label, and its symbol too.
+        return begin + len(text) * CHARACTER_PX + 14
+
+    def _bar(
+        self, begin: float, end: float, kind: str, title: str, waits: bool = False
+    ) -> None:
         x = self._x(begin)
         width = max(self._x(end) - x, 1.0)
+        draw = page_style.waiting if waits else page_style.bar
         self._shapes.append(
-            f'<rect x="{x:.1f}" y="{self._y + 2}" width="{width:.1f}" height="11" '
-            f'class="{kind}"><title>{html.escape(title)}</title></rect>'
+            f"<g>{draw(x, self._y + 2, width, kind)}"
+            f"<title>{html.escape(title)}</title></g>"
         )
 
+    def _end_text(self, begin: float, end: float, text: str, kind: str = "") -> None:
+        """Write a text after a bar, or before it where the picture ends."""
+        x = self._x(end) + 4
+        width = len(text) * CHARACTER_PX
+        if x + width > LABEL_WIDTH_PX + PLOT_WIDTH_PX + RIGHT_MARGIN_PX:
+            x = self._x(begin) - 4 - width
+        self._text(x, self._y + 11, text, kind)
+
     def _text(self, x: float, y: float, text: str, kind: str = "") -> None:
         attribute = f' class="{kind}"' if kind else ""
-        self._shapes.append(
+        self._labels.append(
             f'<text x="{x:.1f}" y="{y}"{attribute}>{html.escape(text)}</text>'
         )
 
 
+def _mark_text(event: events.Event) -> str:
+    if event.kind is events.Kind.VERSION_IN_FORCE:
+        return f"version {event.detail}"
+    return _MARK_TEXTS[event.kind]
+
+
 def _table(
     entries: collections.abc.Sequence[merge.Entry], first: float
 ) -> collections.abc.Iterator[str]:
