--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint types unit mutations binary binary-check clean
+.PHONY: setup demo test lint types unit mutations control-cost binary binary-check clean
 
 setup: $(VENV)/.installed
 
@@ -31,6 +31,9 @@
 mutations: setup
 	$(BIN)/python -m tests.mutations
 
+control-cost: setup
+	$(BIN)/python -m jackdawpass.bench.control_cost
+
 # Needs gcc and the static CPython library, so neither is part of `test`.
 binary:
 	$(PYTHON) -m binary.build
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import json
+import pathlib
 import signal
 import subprocess
 import sys
@@ -12,6 +13,7 @@
 import urllib.error
 import urllib.request
 
+from jackdawpass.bench import fleet
 from jackdawpass.version import parts
 
 START_TIMEOUT_SECONDS = 20.0
@@ -130,6 +132,7 @@
 
     def __init__(self) -> None:
         self._processes: list[Process] = []
+        self._clusters: list[fleet.Cluster] = []
         self.platform = self.start("stand-in", "platform")
         self.targets: dict[str, Process] = {}
 
@@ -141,9 +144,18 @@
 
     def close(self) -> None:
         """Kill all processes."""
+        for each in self._clusters:
+            each.close()
         for process in reversed(self._processes):
             process.stop()
 
+    def add_cluster(self, directory: pathlib.Path, count: int) -> fleet.Cluster:
+        """Start linked instances in three zones behind a relay."""
+        started = fleet.Cluster(self.platform.url, directory)
+        self._clusters.append(started)
+        started.start(count)
+        return started
+
     def add_target(self, name: str, **options: typing.Any) -> Process:
         """Start a target stand-in."""
         text = json.dumps({"name": name, **options})
