--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint types unit mutations control-cost binary clean
+.PHONY: setup demo test lint types unit mutations control-cost binary binary-check clean
 
 setup: $(VENV)/.installed
 
@@ -34,5 +34,12 @@
 control-cost: setup
 	$(BIN)/python -m jackdawpass.bench.control_cost
 
+# Needs gcc and the static CPython library, so neither is part of `test`.
+binary:
+	$(PYTHON) -m binary.build
+
+binary-check: binary
+	$(PYTHON) -m binary.check
+
 clean:
 	rm -rf $(VENV) build dist
