Leave the latency of a stall behind with the first quick reply

Change: a reply within the unloaded latency after a stalled cancellation resets the recent latency. Conclusion: the queue no longer expires work for a stall that has ended.

--- a/jackdawpass/process/limiter.py
+++ b/jackdawpass/process/limiter.py
@@ -61,6 +61,7 @@
         self._last_start = -math.inf
         self._last_shed = -math.inf
         self._limited = False
+        self._stalled = False
 
     @property
     def limit(self) -> float:
@@ -119,6 +120,9 @@
     def on_reply(self, now: float, latency: float) -> None:
         """Give back a place and adapt to the latency in seconds."""
         self._give_back()
+        if self._stalled and latency <= self._tolerated_latency():
+            self._start_over(latency)
+        self._stalled = False
         self._adapt(now, latency)
 
     def on_failure(self, now: float, failure: model.AttemptFailure) -> None:
@@ -136,6 +140,7 @@
         self._give_back()
         if self._samples and age > self._short:
             self._adapt(now, age)
+        self._stalled = self._stalled or age > self._clip_latency()
 
     def _give_back(self) -> None:
         self._in_flight = max(0, self._in_flight - 1)
@@ -149,11 +154,26 @@
         pause = self.expected_latency() / self._limit
         return self._last_start + min(pause, MAX_PAUSE_SECONDS)
 
+    def _tolerated_latency(self) -> float:
+        return TOLERATED_RATIO * self._base + LATENCY_SLACK_SECONDS
+
+    def _clip_latency(self) -> float:
+        return CLIP_RATIO * self._base + LATENCY_SLACK_SECONDS
+
+    def _start_over(self, latency: float) -> None:
+        """Leave the latency of a stall behind.
+
+        A target that answers within its unloaded latency has no queue. Averages would
+        take seconds to show that, in which queries are expected to be late.
+        """
+        self._short = self._long = max(latency, MIN_LATENCY_SECONDS)
+        self._set_limit(max(self._limit, INITIAL_LIMIT))
+
     def _adapt(self, now: float, latency: float) -> None:
         self._note(now, latency)
         if self._samples < MIN_SAMPLES:
             return
-        tolerated = TOLERATED_RATIO * self._base + LATENCY_SLACK_SECONDS
+        tolerated = self._tolerated_latency()
         gradient = min(1.0, max(MIN_GRADIENT, tolerated / self._short))
         wanted = self._limit * gradient + HEADROOM * math.sqrt(self._limit)
         used = self._limited or self._in_flight + 1 > self._limit / 2
@@ -168,7 +188,7 @@
         self._last_sample = now
         self._samples += 1
         latency = max(latency, MIN_LATENCY_SECONDS)
-        clipped = min(latency, CLIP_RATIO * self._base + LATENCY_SLACK_SECONDS)
+        clipped = min(latency, self._clip_latency())
         self._short += max(SHORT_WEIGHT, 1 / self._samples) * (clipped - self._short)
         self._long += max(LONG_WEIGHT, 1 / self._samples) * (clipped - self._long)
         if self._samples < MIN_SAMPLES:
--- a/tests/process/test_limiter.py
+++ b/tests/process/test_limiter.py
@@ -95,6 +95,33 @@
     assert gate.limit > 1.5
 
 
+def test_limit_recovers_with_the_first_reply_after_a_stall() -> None:
+    """Guards against seconds of paced requests after a cut zone is back."""
+    gate = limiter.Limiter(2 / 30, 2.0)
+    now = _answer(gate, 0.0, 100, SERVICE_SECONDS)
+    for _ in range(20):
+        now += 1.0
+        assert gate.try_start(now)
+        now += 1.0
+        gate.on_cancelled(now, 1.0)
+    assert gate.expected_latency() > 4 * SERVICE_SECONDS
+    now += 1.0
+    assert gate.try_start(now)
+    gate.on_reply(now + SERVICE_SECONDS, SERVICE_SECONDS)
+    assert gate.limit >= limiter.INITIAL_LIMIT
+    assert gate.expected_latency() < 2 * SERVICE_SECONDS
+
+
+def _answer(gate: limiter.Limiter, now: float, count: int, latency: float) -> float:
+    """Answer requests one after another; return the time of the last reply."""
+    for _ in range(count):
+        now += 0.1
+        assert gate.try_start(now)
+        now += latency
+        gate.on_reply(now, latency)
+    return now
+
+
 def test_slow_target_is_not_throttled_to_the_floor() -> None:
     """Guards against a slowdown of the target that is taken for its queue.
 
