Retry attempts that reached no target without budget

Cause: a lost replica or a cut zone used up the budget of extra sub-requests with retries of failed connects, which put no load on any target; shards then stayed missing although another replica was up. Conclusion: the budget bounds load on targets only.

--- a/jackdawpass/request/fanout.py
+++ b/jackdawpass/request/fanout.py
@@ -197,8 +197,9 @@
             restart = self._restart(now)
             if restart:
                 return restart
+        is_free = refusals.reached_no_target(failure)
         affordable = tuple(
-            entry for entry in assignments if self._budget.try_spend(now)
+            entry for entry in assignments if is_free or self._budget.try_spend(now)
         )
         return self._send(affordable, model.AttemptKind.RETRY)
 
--- a/jackdawpass/request/refusals.py
+++ b/jackdawpass/request/refusals.py
@@ -16,6 +16,15 @@
 RETRY_AFTER_SECONDS = 1.0
 
 
+def reached_no_target(failure: model.AttemptFailure) -> bool:
+    """Return whether an attempt put no load on any target.
+
+    Its retry is then no extra sub-request: the budget bounds the load on targets, and a
+    lost replica or a cut zone would use it up at once.
+    """
+    return failure.kind is model.FailureKind.CONNECT_FAILED
+
+
 def not_run(failure: model.AttemptFailure | None, attempted: bool) -> problems.Problem:
     """Return the problem of a query that ran nowhere.
 
--- a/jackdawpass/request/single_run.py
+++ b/jackdawpass/request/single_run.py
@@ -2,7 +2,7 @@
 
 import xxhash
 
-from jackdawpass.request import machine, merge, model, problems
+from jackdawpass.request import machine, merge, model, problems, refusals
 
 RETRY_AFTER_SECONDS = 1.0
 
@@ -122,7 +122,7 @@
         assignments = self._router.assign(now, self._plan.shards, {shard: self._tried})
         if not assignments:
             return self._finish(_refused(failure))
-        if failure is not None and not self._budget.try_spend(now):
+        if failure is not None and not self._may_retry(now, failure):
             return self._finish(_refused(failure))
         target = assignments[0].target
         self._tried.add(target)
@@ -140,6 +140,9 @@
         )
         return (machine.Send(self._attempt),)
 
+    def _may_retry(self, now: float, failure: model.AttemptFailure) -> bool:
+        return refusals.reached_no_target(failure) or self._budget.try_spend(now)
+
     def _cancel(self) -> machine.Actions:
         if self._attempt is None:
             return ()
