Remove the policy that the adaptive one replaced

Cause: PlainPolicy, ServiceRouter and OpenGate were used by one test only, and the base class of policies that learn nothing by the naive baseline only. Change: they are gone; the naive policy in bench/ holds its own methods. Conclusion: the product holds one policy.

--- a/jackdawpass/bench/naive.py
+++ b/jackdawpass/bench/naive.py
@@ -3,7 +3,7 @@
 import collections
 import random
 
-from jackdawpass.process import hedging, policy
+from jackdawpass.process import membership, policy
 from jackdawpass.request import machine, model
 from jackdawpass.version import catalog
 
@@ -72,6 +72,14 @@
         )
 
 
+class NoHedging:
+    """Never hedges."""
+
+    def delay(self, now: float, target: str) -> float | None:
+        """Return None: no hedge."""
+        return None
+
+
 class UnlimitedBudget:
     """Permits every retry; the router bounds their number."""
 
@@ -83,7 +91,7 @@
         return True
 
 
-class NaivePolicy(policy.Unobserving):
+class NaivePolicy:
     """Knows neither zones nor the state of targets.
 
     Parameters
@@ -109,7 +117,7 @@
 
     def hedging(self, service: catalog.Service) -> machine.Hedging:
         """Return a hedging that never hedges."""
-        return hedging.NoHedging()
+        return NoHedging()
 
     def budget(self, service: catalog.Service) -> machine.Budget:
         """Return a budget without a bound."""
@@ -122,3 +130,49 @@
     def connections(self, target: catalog.Target) -> int:
         """Return an equal share of the target's connection limit."""
         return max(1, target.settings.connections // self._instances_max)
+
+    def queue_rule(self, service: str) -> policy.QueueRule:
+        """Return the same rule for all services."""
+        return policy.QueueRule()
+
+    def expected_latency(self, target: str) -> float:
+        """Return 0, since nothing is measured."""
+        return 0.0
+
+    def admits(
+        self,
+        now: float,
+        service: catalog.Service,
+        shard_map: catalog.ShardMap,
+        plan: model.QueryPlan,
+    ) -> bool:
+        """Return True, since no wait is expected."""
+        return True
+
+    def on_members(self, now: float, view: membership.MembersView) -> None:
+        """Ignore the members."""
+
+    def take_due_probes(self, now: float) -> tuple[str, ...]:
+        """Return no targets."""
+        return ()
+
+    def on_probe(self, now: float, target: str, ready: bool) -> None:
+        """Ignore the result."""
+
+    def report(self, now: float) -> policy.Report:
+        """Return an empty report, since nothing is learned."""
+        return policy.Report({}, {})
+
+    def on_submitted(self, now: float, attempt: model.Attempt) -> None:
+        """Ignore the attempt."""
+
+    def on_reply(self, now: float, attempt: model.Attempt, latency: float) -> None:
+        """Ignore the reply."""
+
+    def on_failure(
+        self, now: float, attempt: model.Attempt, failure: model.AttemptFailure
+    ) -> None:
+        """Ignore the failure."""
+
+    def on_cancelled(self, now: float, attempt: model.Attempt, age: float) -> None:
+        """Ignore the cancellation."""
--- a/jackdawpass/process/hedging.py
+++ b/jackdawpass/process/hedging.py
@@ -11,14 +11,6 @@
 MAX_MEDIAN_RATIO = 2.5
 
 
-class NoHedging:
-    """Never hedges."""
-
-    def delay(self, now: float, target: str) -> float | None:
-        """Return None: no hedge."""
-        return None
-
-
 class Allowance(typing.Protocol):
     """Says whether hedges may be planned."""
 
--- a/tests/process/test_channel.py
+++ b/tests/process/test_channel.py
@@ -3,6 +3,7 @@
 import pytest
 
 from jackdawpass import clock
+from jackdawpass.bench import naive
 from jackdawpass.connection import dialect
 from jackdawpass.process import channel, limiter, policy, submission
 from jackdawpass.request import model
@@ -12,7 +13,7 @@
 OK = b'{"request_id": "r", "attempt_id": %d, "snapshot": "s1", "shards": {"0": []}}'
 
 
-class _Decisions(policy.PlainPolicy):
+class _Decisions(naive.NaivePolicy):
     latency = 0.0
 
     def queue_rule(self, service: str) -> policy.QueueRule:
@@ -29,7 +30,7 @@
         self.network = test_pool.Network(limit=4)
         self.reactor = self.network.reactor
         self.gate = limiter.Limiter(1.0, 1.0)
-        self.decisions = _Decisions("a")
+        self.decisions = _Decisions()
         wire, connections = dialect.JsonDialect(), self.network.pool
         self.channel = channel.Channel(
             self.reactor, "t", wire, connections, self.gate, self.decisions
