--- a/jackdawpass/commands/entry.py
+++ b/jackdawpass/commands/entry.py
@@ -95,6 +95,8 @@
     # Whoever starts an instance reads its port from the first line.
     log.hold()
     instance = entry.Entry(reactor, options, _make_policy(arguments, options))
+    # From the moment that its port is known, an instance may be told to stop.
+    outcomes = _stop_when_drained(reactor, instance)
     try:
         instance.start()
     except error.CannotListenError as failure:
@@ -105,7 +107,6 @@
     ports = {"port": instance.port, "peer_port": instance.peer_port}
     print(json.dumps(ports), flush=True)
     log.release()
-    outcomes = _stop_when_drained(reactor, instance)
     _run_reactor(reactor, arguments.profile)
     return console.EXIT_DONE if outcomes == [True] else console.EXIT_FAILED
 
--- a/tests/process/test_drain.py
+++ b/tests/process/test_drain.py
@@ -109,3 +109,13 @@
     entry.signal(signal.SIGTERM)
     assert entry.wait() == 1
     connection.close()
+
+
+def test_repeated_signals_during_the_start_are_handled(
+    processes: rig.Rig, tmp_path: pathlib.Path
+) -> None:
+    """Guards against an instance that dies of a signal before it is ready."""
+    entry = processes.start_entry(tmp_path, drain_grace_seconds=0.2)
+    for _ in range(3):
+        entry.signal(signal.SIGTERM)
+    assert entry.wait() == 0
