Set the timer of a single run again when it fires early

Its only timer fired a rounding before the deadline, was ignored, and none was set again; the fan-out sets its timer again and was not affected. Change: an early timer is set again.

--- a/jackdawpass/request/single_run.py
+++ b/jackdawpass/request/single_run.py
@@ -102,8 +102,11 @@
 
     def on_timer(self, now: float) -> machine.Actions:
         """End the request at its deadline."""
-        if self._finished or now < self._plan.deadline:
+        if self._finished:
             return ()
+        if now < self._plan.deadline:
+            # The reactor's clock may run ahead of ours by a rounding.
+            return (machine.WakeAt(self._plan.deadline),)
         return self._cancel() + self._finish(self._deadline_problem())
 
     def on_caller_gone(self, now: float) -> machine.Actions:
--- a/tests/request/test_single_run.py
+++ b/tests/request/test_single_run.py
@@ -54,6 +54,15 @@
     assert _problem(run.on_timer(1.0)).outcome is model.Outcome.UNKNOWN
 
 
+def test_timer_that_fires_early_is_set_again() -> None:
+    """Guards against a request that never ends since its timer fired early."""
+    run = _run()
+    run.start(0.0)
+    run.on_sent(0.0, 1)
+    assert run.on_timer(0.9999) == (machine.WakeAt(1.0),)
+    assert _problem(run.on_timer(1.0)).outcome is model.Outcome.UNKNOWN
+
+
 def test_deadline_before_sending_is_not_run_and_cancelled() -> None:
     """Guards against sending a request after it was reported as not run."""
     run = _run()
