--- a/jackdawpass/request/claimed_run.py
+++ b/jackdawpass/request/claimed_run.py
@@ -7,7 +7,7 @@
 
 from jackdawpass import clock
 from jackdawpass.connection import platform_api
-from jackdawpass.request import claims, model, problems, refusals
+from jackdawpass.request import claims, model, problems
 
 RECORD_WAIT_SECONDS = 0.25
 
@@ -147,5 +147,5 @@
         problems.ProblemKind.CLAIM_UNAVAILABLE,
         "the request could not be claimed in the platform's store before its deadline; "
         "retry later with the same Idempotency-Key",
-        refusals.RETRY_AFTER_SECONDS,
+        claims.RETRY_AFTER_SECONDS,
     )
--- a/jackdawpass/request/claims.py
+++ b/jackdawpass/request/claims.py
@@ -17,13 +17,14 @@
 
 from jackdawpass import errors
 from jackdawpass.connection import platform_api
-from jackdawpass.request import model, problems, refusals
+from jackdawpass.request import model, problems
 
 KEY_PREFIX = "claims/"
 MAX_KEY_CHARACTERS = 255
 MAX_RECORD_BYTES = 256 * 1024
 ACQUIRE_TRIES = 3
 RECORD_TRIES = 3
+RETRY_AFTER_SECONDS = 1.0
 
 
 class ClaimState(enum.Enum):
@@ -232,7 +233,7 @@
         problems.ProblemKind.CLAIM_UNAVAILABLE,
         "the request could not be claimed in the platform's store; retry later with "
         "the same Idempotency-Key",
-        refusals.RETRY_AFTER_SECONDS,
+        RETRY_AFTER_SECONDS,
     )
 
 
--- a/jackdawpass/request/refusals.py
+++ b/jackdawpass/request/refusals.py
@@ -43,7 +43,12 @@
             RETRY_AFTER_SECONDS,
         )
     if failure is None or failure.kind is model.FailureKind.QUEUE_EXPIRED:
-        return deadline_exceeded()
+        return problems.not_run(
+            problems.ProblemKind.DEADLINE_EXCEEDED,
+            "the deadline passed before a target was free; "
+            "allow a longer timeout_ms or retry later",
+            RETRY_AFTER_SECONDS,
+        )
     if failure.kind in REFUSALS:
         return problems.not_run(
             problems.ProblemKind.OVERLOADED,
@@ -57,16 +62,6 @@
     )
 
 
-def deadline_exceeded() -> problems.Problem:
-    """Return the problem of a request that found no free target in time."""
-    return problems.not_run(
-        problems.ProblemKind.DEADLINE_EXCEEDED,
-        "the deadline passed before a target was free; "
-        "allow a longer timeout_ms or retry later",
-        RETRY_AFTER_SECONDS,
-    )
-
-
 def missing_reason(failure: model.AttemptFailure) -> model.MissingReason:
     """Return why a shard is missing after its last attempt failed."""
     if failure.kind in SNAPSHOT_FAILURES:
--- a/jackdawpass/request/single_run.py
+++ b/jackdawpass/request/single_run.py
@@ -4,6 +4,8 @@
 
 from jackdawpass.request import machine, merge, model, problems, refusals
 
+RETRY_AFTER_SECONDS = 1.0
+
 
 def shard_of(shard_key: str, shards: int) -> int:
     """Return the shard of a key; all instances compute the same one.
@@ -156,7 +158,12 @@
     def _deadline_problem(self) -> problems.Problem:
         if self._sent:
             return _uncertain("no reply arrived before the deadline")
-        return refusals.deadline_exceeded()
+        return problems.not_run(
+            problems.ProblemKind.DEADLINE_EXCEEDED,
+            "the deadline passed before a target was free; "
+            "allow a longer timeout_ms or retry later",
+            RETRY_AFTER_SECONDS,
+        )
 
 
 def _uncertain(reason: str) -> problems.Problem:
@@ -174,10 +181,10 @@
             problems.ProblemKind.NO_TARGET,
             "no target holds the request's shard; check that the service's targets "
             "are up and hold the published snapshot",
-            refusals.RETRY_AFTER_SECONDS,
+            RETRY_AFTER_SECONDS,
         )
     return problems.not_run(
         problems.ProblemKind.TARGET_REFUSED,
         f"no target ran the request ({failure.kind.value}); retry later",
-        max(failure.retry_after, refusals.RETRY_AFTER_SECONDS),
+        max(failure.retry_after, RETRY_AFTER_SECONDS),
     )
