--- a/jackdawpass/bench/naive.py
+++ b/jackdawpass/bench/naive.py
@@ -86,7 +86,7 @@
     def on_first_attempts(self, now: float, count: int) -> None:
         """Ignore the first attempts."""
 
-    def try_spend(self, now: float) -> bool:
+    def try_spend(self, now: float, target: str = "") -> bool:
         """Return True."""
         return True
 
--- a/jackdawpass/cli.py
+++ b/jackdawpass/cli.py
@@ -1,60 +1,58 @@
 """The command line; calls one module of `commands` per command."""
 
-import argparse
 import collections.abc
+import importlib
 import sys
 import typing
 
 from jackdawpass import __version__
-from jackdawpass.commands import (
-    bench,
-    config,
-    console,
-    demo,
-    drain,
-    entry,
-    index,
-    query,
-    reports,
-    stand_in,
-    status,
-    timeline,
-    version,
-)
+from jackdawpass.commands import console
 
-COMMANDS: tuple[typing.Any, ...] = (
-    entry,
-    config,
-    index,
-    query,
-    status,
-    drain,
-    timeline,
-    version,
-    stand_in,
-    bench,
-    demo,
+# Only the module of the command that is run is imported, since start-up counts on small
+# machines. The names of the modules are in the order of the help text.
+COMMANDS = (
+    "entry",
+    "front",
+    "config",
+    "index",
+    "query",
+    "status",
+    "drain",
+    "timeline",
+    "version",
+    "stand_in",
+    "bench",
+    "demo",
 )
 
 
-def make_parser() -> argparse.ArgumentParser:
-    """Return the parser of all commands."""
+def make_parser(
+    commands: collections.abc.Iterable[str] = COMMANDS,
+) -> console.Parser:
+    """Return the parser of the given commands."""
     parser = console.Parser(prog="jackdawpass", description=__doc__)
     parser.add_argument("--version", action="version", version=__version__)
     subparsers = parser.add_subparsers(dest="command", required=True)
-    for command in COMMANDS:
-        command.add_parser(subparsers)
+    for command in commands:
+        module: typing.Any = importlib.import_module(f"jackdawpass.commands.{command}")
+        module.add_parser(subparsers)
     return parser
 
 
 def main(argv: collections.abc.Sequence[str] | None = None) -> int:
     """Run one command and return its exit code: 0 done, 1 failed, 2 usage."""
-    arguments, unknown = make_parser().parse_known_args(argv)
+    words = sys.argv[1:] if argv is None else list(argv)
+    name = words[0].replace("-", "_") if words else ""
+    parser = make_parser((name,) if name in COMMANDS else COMMANDS)
+    arguments, unknown = parser.parse_known_args(words)
     if unknown:
         arguments.parser.reject(unknown)
     try:
         return int(arguments.run(arguments))
     except console.Failed as error:
+        # Imported here, as few commands need it.
+        from jackdawpass.commands import reports
+
         output_format = getattr(arguments, "format", console.TEXT_FORMAT)
         return reports.show_failure(error, output_format)
     except BrokenPipeError:
--- a/jackdawpass/connection/dialect.py
+++ b/jackdawpass/connection/dialect.py
@@ -17,10 +17,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpReply:
-    """A complete HTTP reply."""
+    """A complete HTTP reply.
+
+    Attributes
+    ----------
+    headers : tuple of (bytes, bytes)
+        Names in lower case with their values, in the order of arrival.
+    """
 
     status: int
     body: bytes
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, named in lower case; None if absent."""
+        return next((value for key, value in self.headers if key == name), None)
 
 
 RunResult = result.Result[model.SubReply, model.AttemptFailure]
@@ -37,8 +48,11 @@
     ) -> bytes:
         """Encode the HTTP request of an attempt; `remaining` is in seconds."""
 
-    def encode_cancel(self, attempt: model.Attempt) -> bytes:
-        """Encode the HTTP request that cancels an attempt."""
+    def encode_cancel(self, attempt: model.Attempt) -> bytes | None:
+        """Encode the HTTP request that cancels an attempt; None where there is none."""
+
+    def belongs(self, attempt: model.Attempt, reply: HttpReply) -> bool:
+        """Return False for a reply that was meant for another request."""
 
     def decode_run(self, attempt: model.Attempt, reply: HttpReply) -> RunResult:
         """Decode the reply to an attempt."""
@@ -133,6 +147,10 @@
         body = {"request_id": attempt.request_id, "attempt_id": attempt.attempt_id}
         return self._post(CANCEL_PATH, self._encoder.encode(body))
 
+    def belongs(self, attempt: model.Attempt, reply: HttpReply) -> bool:
+        """Return True: `decode_run` tells replies apart by the ids in their body."""
+        return True
+
     def decode_run(self, attempt: model.Attempt, reply: HttpReply) -> RunResult:
         """Decode the reply to an attempt and check that it belongs to it."""
         if reply.status == 200:
--- /dev/null
+++ b/jackdawpass/connection/ingress.py
@@ -0,0 +1,306 @@
+"""HTTP/1.1 connection of a caller: one request at a time, answered in order."""
+
+import collections
+import collections.abc
+import dataclasses
+import typing
+
+import httptools
+from twisted.internet import protocol
+from twisted.python import failure
+
+from jackdawpass.version import routes
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+CONNECTION_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+# Requests that one connection may send ahead of the answers.
+MAX_PIPELINED = 16
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IncomingRequest:
+    """A whole request.
+
+    Attributes
+    ----------
+    target : bytes
+        Path and query as they came.
+    headers : tuple of (bytes, bytes)
+        Names as they came, with their values.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, named in lower case; None if absent."""
+        return next((v for key, v in self.headers if key.lower() == name), None)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutgoingAnswer:
+    """An answer; its length and what concerns the connection are added in sending."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class Exchange(typing.Protocol):
+    """A request that is being served."""
+
+    def caller_gone(self) -> None:
+        """Give up what the caller no longer waits for."""
+
+
+OnAnswer = collections.abc.Callable[[OutgoingAnswer], None]
+
+
+class Handler(typing.Protocol):
+    """Serves whole requests."""
+
+    @property
+    def caller_limits(self) -> routes.CallerLimits:
+        """Limits in force for callers."""
+
+    @property
+    def closing(self) -> bool:
+        """True when connections close after their next answer."""
+
+    def handle(self, request: IncomingRequest, on_answer: OnAnswer) -> Exchange:
+        """Serve a request; `on_answer` is called once, possibly before returning."""
+
+    def on_open(self, connection: "CallerConnection") -> None:
+        """Note a new connection."""
+
+    def on_closed(self, connection: "CallerConnection") -> None:
+        """Forget a connection."""
+
+
+class CallerConnection(protocol.Protocol):
+    """One connection of a caller."""
+
+    def __init__(self, reactor: typing.Any, handler: Handler) -> None:
+        self._reactor = reactor
+        self._handler = handler
+        self._parser = httptools.HttpRequestParser(self)
+        self._limits = handler.caller_limits
+        self._head_bytes = 0
+        self._receiving = False
+        self._in_head = False
+        self._target = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._waiting: collections.deque[tuple[IncomingRequest, bool]] = (
+            collections.deque()
+        )
+        self._current: Exchange | None = None
+        self._serving = False
+        self._closed = False
+        self._timer: typing.Any = None
+
+    @property
+    def idle(self) -> bool:
+        """True when no request is being received or served."""
+        return not (self._serving or self._waiting or self._receiving)
+
+    def connectionMade(self) -> None:
+        """Wait for the first request."""
+        transport: typing.Any = self.transport
+        transport.setTcpNoDelay(True)
+        self._handler.on_open(self)
+        self._set_timer(self._limits.idle_timeout, self.close)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Feed the parser and serve what is complete."""
+        if self._closed:
+            return
+        if self._in_head or not self._receiving:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject(400)
+            return
+        except httptools.HttpParserError:
+            self._reject(400)
+            return
+        if self._in_head and self._head_bytes > self._limits.max_header_bytes:
+            self._reject(431)
+            return
+        self._serve_next()
+
+    def connectionLost(self, reason: failure.Failure | None = None) -> None:
+        """Give up the request of a caller that went away."""
+        self._closed = True
+        self._stop_timer()
+        self._waiting.clear()
+        current, self._current = self._current, None
+        if current is not None:
+            current.caller_gone()
+        self._handler.on_closed(self)
+
+    def close(self) -> None:
+        """Close the connection once what was written has left."""
+        if not self._closed:
+            self._closed = True
+            self._stop_timer()
+            transport: typing.Any = self.transport
+            transport.loseConnection()
+
+    def on_message_begin(self) -> None:
+        """Begin a request (called by the parser)."""
+        self._receiving = self._in_head = True
+        self._target = b""
+        self._headers = []
+        self._body = []
+        self._body_bytes = 0
+        self._set_timer(self._limits.header_timeout, self._on_slow_head)
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the path and query (called by the parser)."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header (called by the parser)."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Note the end of the head (called by the parser)."""
+        self._in_head = False
+        self._head_bytes = 0
+        self._set_timer(self._limits.idle_timeout, self.close)
+        for name, value in self._headers:
+            if name.lower() == b"expect" and value.lower() == b"100-continue":
+                self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Collect body bytes (called by the parser)."""
+        self._body_bytes += len(body)
+        if self._body_bytes <= self._limits.max_body_bytes:
+            self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queue a whole request (called by the parser)."""
+        self._receiving = False
+        self._stop_timer()
+        request = IncomingRequest(
+            self._parser.get_method(),
+            self._target,
+            tuple(self._headers),
+            b"".join(self._body),
+        )
+        self._waiting.append((request, self._parser.should_keep_alive()))
+
+    def _serve_next(self) -> None:
+        if self._body_bytes > self._limits.max_body_bytes:
+            self._reject(413)
+            return
+        if len(self._waiting) > MAX_PIPELINED:
+            self._reject(400)
+            return
+        if self._serving or not self._waiting or self._closed:
+            return
+        request, keeps_alive = self._waiting.popleft()
+        self._serving = True
+        self._stop_timer()
+
+        def on_answer(answer: OutgoingAnswer) -> None:
+            self._current = None
+            self._serving = False
+            self._answer(answer, keeps_alive)
+
+        current = self._handler.handle(request, on_answer)
+        if self._serving:
+            self._current = current
+
+    def _answer(self, answer: OutgoingAnswer, keeps_alive: bool) -> None:
+        if self._closed:
+            return
+        is_last = self._handler.closing or not keeps_alive
+        self._write(encode_answer(answer, is_last))
+        if is_last:
+            self.close()
+            return
+        self._limits = self._handler.caller_limits
+        if self._waiting:
+            self._reactor.callLater(0, self._serve_next)
+        elif not self._receiving:
+            self._set_timer(self._limits.idle_timeout, self.close)
+
+    def _reject(self, status: int) -> None:
+        if not self._serving and not self._waiting:
+            self._write(encode_answer(OutgoingAnswer(status, (), b""), True))
+        self.close()
+
+    def _on_slow_head(self) -> None:
+        self._timer = None
+        self._reject(408)
+
+    def _write(self, data: bytes) -> None:
+        transport: typing.Any = self.transport
+        transport.write(data)
+
+    def _set_timer(
+        self, seconds: float, action: collections.abc.Callable[[], None]
+    ) -> None:
+        self._stop_timer()
+        self._timer = self._reactor.callLater(seconds, action)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+
+class CallerFactory(protocol.Factory):
+    """Makes the connections of callers."""
+
+    noisy = False
+
+    def __init__(self, reactor: typing.Any, handler: Handler) -> None:
+        self._reactor = reactor
+        self._handler = handler
+
+    def buildProtocol(self, addr: object) -> CallerConnection:
+        """Return a new connection."""
+        return CallerConnection(self._reactor, self._handler)
+
+
+def encode_answer(answer: OutgoingAnswer, is_last: bool) -> bytes:
+    """Encode an answer; `is_last` says that the connection closes after it."""
+    reason = REASONS.get(answer.status, "Status")
+    lines = [f"HTTP/1.1 {answer.status} {reason}".encode()]
+    lines += [name + b": " + value for name, value in answer.headers]
+    lines.append(b"Content-Length: %d" % len(answer.body))
+    if is_last:
+        lines.append(b"Connection: close")
+    return b"\r\n".join(lines) + b"\r\n\r\n" + answer.body
--- a/jackdawpass/connection/pool.py
+++ b/jackdawpass/connection/pool.py
@@ -6,7 +6,8 @@
 
 from twisted.internet import endpoints, interfaces, protocol
 
-from jackdawpass.connection import exchange
+from jackdawpass import clock
+from jackdawpass.connection import dialect, exchange
 
 # A connect takes 6 ms; a target that needs longer than this is taken for lost.
 CONNECT_TIMEOUT_SECONDS = 0.3
@@ -42,12 +43,25 @@
         Address of the target.
     limit : int
         Largest number of connections; see `process.shares`.
+    linger_seconds : float
+        How long an abandoned exchange may take to end; 0 closes its connection.
+    connect_timeout : float
+        Seconds after which a connect has failed.
     """
 
-    def __init__(self, reactor: typing.Any, host: str, port: int, limit: int) -> None:
+    def __init__(
+        self,
+        reactor: typing.Any,
+        host: str,
+        port: int,
+        limit: int,
+        linger_seconds: float = 0.0,
+        connect_timeout: float = CONNECT_TIMEOUT_SECONDS,
+    ) -> None:
         self._reactor = reactor
+        self._linger_seconds = linger_seconds
         self._endpoint = endpoints.TCP4ClientEndpoint(
-            reactor, host, port, timeout=CONNECT_TIMEOUT_SECONDS
+            reactor, host, port, timeout=connect_timeout
         )
         self._factory = _Factory(self)
         self._limit = limit
@@ -94,10 +108,30 @@
         while self._idle:
             # The one used last is the least likely to be closed by the target.
             connection = self._idle.pop()
-            if connection.open:
+            if connection.usable(clock.monotonic()):
                 return connection
+            connection.abort()
         return None
 
+    def abandon(self, connection: exchange.Exchange) -> None:
+        """Give up an exchange whose reply nobody waits for any more.
+
+        Where replies come soon, taking the reply and keeping the connection is cheaper
+        for the target than a new connection.
+        """
+        if self._linger_seconds <= 0:
+            connection.abort()
+            return
+        timer = self._reactor.callLater(self._linger_seconds, connection.abort)
+
+        def on_done(outcome: dialect.HttpReply | exchange.Loss) -> None:
+            if timer.active():
+                timer.cancel()
+            if isinstance(outcome, dialect.HttpReply):
+                self.release(connection)
+
+        connection.drop_reply(on_done)
+
     def release(self, connection: exchange.Exchange) -> None:
         """Take back a connection whose reply is complete, or that carried nothing."""
         if not connection.open:
--- /dev/null
+++ b/jackdawpass/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter: translates between the users' platform and the product's own types."""
--- a/jackdawpass/process/budget.py
+++ b/jackdawpass/process/budget.py
@@ -55,7 +55,7 @@
         """Note first attempts, which earn budget."""
         self.earn(self._share * count)
 
-    def try_spend(self, now: float) -> bool:
+    def try_spend(self, now: float, target: str = "") -> bool:
         """Take one token; False when there is none."""
         if self._tokens < 1:
             return False
@@ -105,7 +105,7 @@
         if not self._slowness.slow:
             self._open.earn(earned - reserved)
 
-    def try_spend(self, now: float) -> bool:
+    def try_spend(self, now: float, target: str = "") -> bool:
         """Take the budget for one extra sub-request; False when there is none."""
         if not self._slowness.slow and self._open.try_spend(now):
             return True
--- /dev/null
+++ b/jackdawpass/process/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Serving of callers whose requests are routed to listed targets."""
--- /dev/null
+++ b/jackdawpass/process/serving/gateway.py
@@ -0,0 +1,267 @@
+"""Takes callers' requests and has them answered by the targets of their route."""
+
+import collections.abc
+import dataclasses
+import random
+import typing
+
+from jackdawpass import clock
+from jackdawpass.process import shares, submission
+from jackdawpass.process.serving import journal, repeats, sender, targets, timing
+from jackdawpass.request import (
+    fanout,
+    machine,
+    model,
+    problems,
+    records,
+    runner,
+    single_run,
+)
+from jackdawpass.version import routes
+
+# Instances assumed to share a target while their number is not known. Too many only
+# make this one more modest.
+ASSUMED_INSTANCES = 64
+# Time after which a caller whose request found no room may come back: the time in which
+# a target works off a full queue of short requests.
+RETRY_AFTER_SECONDS = 0.1
+# Time before the deadline at which the last answer leaves, so that it arrives.
+ANSWER_SECONDS = 0.010
+MIN_DEADLINE_SECONDS = 0.001
+
+Outcome = model.Answer | problems.Problem
+OnOutcome = collections.abc.Callable[[Outcome], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A caller's request as it is passed on.
+
+    Attributes
+    ----------
+    request_id : str
+        The caller's id of this request.
+    path : str
+        Without the query string.
+    patience : float
+        Seconds that the caller waits.
+    forward : bytes
+        The encoded request that targets get.
+    """
+
+    request_id: str
+    host: str
+    path: str
+    patience: float
+    forward: bytes
+
+
+class Running(typing.Protocol):
+    """A request under way."""
+
+    def caller_gone(self) -> None:
+        """Give up what the caller no longer waits for."""
+
+
+class _Done:
+    """A request that ended at once."""
+
+    def caller_gone(self) -> None:
+        """Do nothing."""
+
+
+class Gateway:
+    """Serves requests by the routing table in force and the listed targets.
+
+    Parameters
+    ----------
+    reactor : reactor
+        The process's reactor.
+    zone : str
+        Availability zone of this instance.
+    wire : TargetDialect
+        Dialect of the targets.
+    limits : RepeatLimits
+        Limits of repeats for all instances together.
+    generator : random.Random
+        Source of all random choices.
+    """
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        zone: str,
+        wire: typing.Any,
+        limits: repeats.RepeatLimits,
+        generator: random.Random,
+    ) -> None:
+        self._reactor = reactor
+        self._random = generator
+        self._targets = targets.Targets(zone, generator)
+        self._budgets = repeats.Budgets(limits)
+        self._timings: dict[str, timing.RouteTiming] = {}
+        self._sender = sender.Sender(reactor, wire, self)
+        self._table: routes.RoutingTable | None = None
+        self._instances = ASSUMED_INSTANCES
+
+    @property
+    def table(self) -> routes.RoutingTable | None:
+        """Routing table in force; None before the first."""
+        return self._table
+
+    def apply_table(self, table: routes.RoutingTable) -> None:
+        """Put a routing table in force, unless a later one is."""
+        if self._table is not None and table.version <= self._table.version:
+            return
+        self._table = table
+        names = {route.name for route in table.routes}
+        self._timings = {
+            name: self._timings.get(name) or timing.RouteTiming() for name in names
+        }
+        self._budgets.keep(set(table.groups))
+        self._resize()
+
+    def apply_targets(
+        self, now: float, listed: collections.abc.Mapping[str, targets.ListedTarget]
+    ) -> None:
+        """Take over the list of targets."""
+        self._targets.apply(now, listed)
+        self._resize()
+
+    def apply_instances(self, count: int) -> None:
+        """Take over the number of instances that share the targets."""
+        self._instances = max(1, count)
+        self._resize()
+
+    def serve(self, request: CallerRequest, on_outcome: OnOutcome) -> Running:
+        """Serve a request; `on_outcome` is called once, possibly before returning."""
+        now = clock.monotonic()
+        observer = journal.RequestJournal(now, request.request_id)
+        if self._table is None:
+            return _refuse(_NO_CONFIGURATION, observer, on_outcome)
+        route = self._table.match(request.host, request.path)
+        if route is None:
+            return _refuse(_NO_ROUTE, observer, on_outcome)
+        observer.routed(route.name, self._table.version)
+        groups = route.shards or (route.pick_group(self._random.random()),)
+        for group in groups:
+            self._budgets.group(group).on_request(now)
+
+        def finish(outcome: Outcome) -> None:
+            observer.finished(outcome)
+            on_outcome(_with_return_time(outcome))
+
+        running = runner.Runner(
+            self._reactor,
+            self._machine(now, request, route, groups),
+            self._sender,
+            request.forward,
+            finish,
+            observer,
+        )
+        running.start()
+        return running
+
+    def on_attempt_end(
+        self, now: float, attempt: model.Attempt, end: submission.End
+    ) -> None:
+        """Learn from the end of an attempt."""
+        state = self._targets.states.get(attempt.target)
+        known = self._timings.get(attempt.service)
+        route = self._route(attempt.service)
+        if state is None or known is None or route is None:
+            return
+        typical = known.typical(route)
+        match end:
+            case submission.Replied(latency):
+                known.add(now, latency)
+                state.on_latency(now, latency / typical)
+            case submission.Cancelled(age):
+                state.on_withdrawn(now, age / typical)
+            case model.AttemptFailure():
+                if targets.is_evidence(end):
+                    state.on_failure(now)
+
+    def close(self) -> None:
+        """Close the connections to targets as they become idle."""
+        self._sender.close()
+
+    def _route(self, name: str) -> routes.Route | None:
+        if self._table is None:
+            return None
+        return self._table.route(name)
+
+    def _machine(
+        self,
+        now: float,
+        request: CallerRequest,
+        route: routes.Route,
+        groups: tuple[str, ...],
+    ) -> machine.Machine:
+        plan = self._plan(now, request, route, len(groups))
+        router = targets.GroupRouter(self._targets, groups)
+        budget = timing.RequestBudget(self._budgets, self._instances, self._group_of)
+        merger = records.RecordMerge if route.shards else records.RelayMerge
+        if not route.idempotent:
+            return single_run.SingleRun(plan, router, budget, merger=merger)
+        known = self._timings[route.name]
+        hedging = timing.RouteHedging(route, known, budget)
+        source = timing.NoOtherSnapshot()
+        return fanout.Fanout(plan, router, hedging, budget, source, merger)
+
+    def _plan(
+        self, now: float, request: CallerRequest, route: routes.Route, shards: int
+    ) -> model.QueryPlan:
+        wait = min(request.patience, route.timeout)
+        assert self._table is not None
+        return model.QueryPlan(
+            request_id=request.request_id,
+            service=route.name,
+            snapshot=str(self._table.version),
+            shards=frozenset(range(shards)),
+            deadline=now + max(MIN_DEADLINE_SECONDS, wait - ANSWER_SECONDS),
+            limit=route.limit,
+            min_coverage=route.min_coverage,
+            early_after=timing.answer_by(now, route) if route.shards else None,
+            early_coverage=route.min_coverage,
+            max_attempts=route.max_attempts,
+            hedge_unsent=True,
+        )
+
+    def _group_of(self, target: str) -> str:
+        state = self._targets.states.get(target)
+        return "" if state is None else state.listed.group
+
+    def _resize(self) -> None:
+        self._sender.apply(self._targets.states, self._share_of)
+
+    def _share_of(self, target: targets.ListedTarget) -> int:
+        group = None if self._table is None else self._table.groups.get(target.group)
+        if group is None:
+            return 0
+        return shares.connection_share(group.max_connections, self._instances + 1, 0)
+
+
+_NO_CONFIGURATION = problems.not_run(
+    problems.ProblemKind.NO_CONFIGURATION,
+    "this instance has no configuration yet; retry",
+    RETRY_AFTER_SECONDS,
+)
+_NO_ROUTE = problems.not_run(
+    problems.ProblemKind.UNKNOWN_SERVICE,
+    "no route matches the host and path; check them against the configuration",
+)
+
+
+def _refuse(
+    problem: problems.Problem, observer: journal.RequestJournal, on_outcome: OnOutcome
+) -> Running:
+    observer.finished(problem)
+    on_outcome(problem)
+    return _Done()
+
+
+def _with_return_time(outcome: Outcome) -> Outcome:
+    if isinstance(outcome, problems.Problem) and outcome.retry_after is not None:
+        return dataclasses.replace(outcome, retry_after=RETRY_AFTER_SECONDS)
+    return outcome
--- /dev/null
+++ b/jackdawpass/process/serving/journal.py
@@ -0,0 +1,111 @@
+"""Log lines about one request: its decisions, their inputs and its outcome."""
+
+import typing
+
+from jackdawpass import clock
+from jackdawpass.process import logs
+from jackdawpass.request import model, problems
+
+_logger = logs.get_logger(__name__)
+
+
+class RequestJournal:
+    """Trace of one request that writes to the log.
+
+    First attempts and their replies are counted and stand in the last line; what goes
+    beyond them, such as a hedge or a failed attempt, has a line of its own.
+    """
+
+    def __init__(self, now: float, request_id: str) -> None:
+        self._request_id = request_id
+        self._started = now
+        self._route = ""
+        self._version = 0
+        self._attempts: dict[int, model.Attempt] = {}
+        self._repeats = 0
+        self._failures = 0
+
+    def routed(self, route: str, version: int) -> None:
+        """Note the route and the configuration version of the request."""
+        self._route = route
+        self._version = version
+
+    def queued(self, attempt: model.Attempt) -> None:
+        """Note an attempt; log it when it repeats another one."""
+        self._attempts[attempt.attempt_id] = attempt
+        if attempt.kind is not model.AttemptKind.FIRST:
+            self._repeats += 1
+            self._attempt_line("attempt_repeated", attempt, attempt.kind.value)
+
+    def sent(self, attempt_id: int) -> None:
+        """Do nothing: an attempt that fails says whether it was sent."""
+
+    def replied(self, attempt_id: int) -> None:
+        """Forget an attempt that was answered."""
+        self._attempts.pop(attempt_id, None)
+
+    def failed(self, attempt_id: int, failure: model.AttemptFailure) -> None:
+        """Log a failed attempt."""
+        self._failures += 1
+        attempt = self._attempts.pop(attempt_id, None)
+        if attempt is not None:
+            reason = f"{failure.kind.value} {failure.execution.value}"
+            self._attempt_line("attempt_failed", attempt, reason)
+
+    def cancelled(self, attempt_id: int) -> None:
+        """Log an attempt that was given up unanswered."""
+        attempt = self._attempts.pop(attempt_id, None)
+        if attempt is not None:
+            self._attempt_line("attempt_given_up", attempt, "")
+
+    def timer(self) -> None:
+        """Do nothing: what the timer causes is logged."""
+
+    def caller_gone(self) -> None:
+        """Log that the caller went away."""
+        self._line("caller_gone", False, {})
+
+    def abandoned(self) -> None:
+        """Do nothing: `caller_gone` has logged it."""
+
+    def finished(self, outcome: model.Answer | problems.Problem) -> None:
+        """Log the outcome."""
+        fields: dict[str, typing.Any] = {
+            "repeats": self._repeats,
+            "failures": self._failures,
+        }
+        is_problem = isinstance(outcome, problems.Problem)
+        coverage = outcome.coverage
+        fields["outcome"] = "answer"
+        if isinstance(outcome, problems.Problem):
+            fields["outcome"] = outcome.kind.value
+            fields["ran"] = outcome.outcome.value
+        if coverage is not None:
+            fields["covered"] = coverage.covered
+            fields["shards"] = coverage.shards
+            fields["missing"] = {
+                str(each.shard): each.reason.value for each in coverage.missing
+            }
+        self._line("request_finished", is_problem, fields)
+
+    def _attempt_line(self, kind: str, attempt: model.Attempt, reason: str) -> None:
+        fields = {
+            "attempt": attempt.attempt_id,
+            "attempt_kind": attempt.kind.value,
+            "target": attempt.target,
+            "shards": sorted(attempt.shards),
+            "reason": reason,
+        }
+        self._line(kind, False, fields)
+
+    def _line(self, kind: str, error: bool, fields: dict[str, typing.Any]) -> None:
+        age = round((clock.monotonic() - self._started) * 1000, 2)
+        write = _logger.error if error else _logger.info
+        write(
+            kind,
+            self._request_id,
+            route=self._route,
+            version=self._version,
+            age_ms=age,
+            **fields,
+        )
--- /dev/null
+++ b/jackdawpass/process/serving/repeats.py
@@ -0,0 +1,102 @@
+"""Budget of repeated sub-requests to one group, kept by all instances together."""
+
+import collections
+import dataclasses
+
+# Part of the budget that is used; the rest covers what other instances count late.
+USED_SHARE = 0.85
+# Part of the allowance that hedges leave for retries after a failure.
+RETRY_RESERVE_SHARE = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RepeatLimits:
+    """Limits that hold for all instances together.
+
+    Attributes
+    ----------
+    ratio : float
+        Repeats as a share of requests.
+    slack : float
+        Repeats allowed beyond that share in each window.
+    window : float
+        Seconds.
+    """
+
+    ratio: float
+    slack: float
+    window: float
+
+
+class _Window:
+    """Count of what happened in the last seconds."""
+
+    def __init__(self, seconds: float) -> None:
+        self._seconds = seconds
+        self._times: collections.deque[float] = collections.deque()
+
+    def add(self, now: float) -> None:
+        self._times.append(now)
+
+    def count(self, now: float) -> int:
+        while self._times and self._times[0] <= now - self._seconds:
+            self._times.popleft()
+        return len(self._times)
+
+
+class GroupBudget:
+    """Share of one instance in the repeats that one group may get."""
+
+    def __init__(self, limits: RepeatLimits) -> None:
+        self._limits = limits
+        self._requests = _Window(limits.window)
+        self._repeats = _Window(limits.window)
+
+    def on_request(self, now: float) -> None:
+        """Note a caller's request for the group."""
+        self._requests.add(now)
+
+    def left(self, now: float, instances: int) -> float:
+        """Return how many repeats may still be sent now."""
+        return self._allowance(now, instances) - self._repeats.count(now)
+
+    def share_left(self, now: float, instances: int) -> float:
+        """Return the unused part of the allowance, from 0 to 1."""
+        allowance = self._allowance(now, instances)
+        return max(0.0, self.left(now, instances) / allowance) if allowance else 0.0
+
+    def try_spend(self, now: float, instances: int) -> bool:
+        """Count a repeat if one may be sent; False otherwise."""
+        if self.left(now, instances) < 1:
+            return False
+        self._repeats.add(now)
+        return True
+
+    def _allowance(self, now: float, instances: int) -> float:
+        earned = self._limits.ratio * self._requests.count(now)
+        return USED_SHARE * (earned + self._limits.slack / max(1, instances))
+
+
+class Budgets:
+    """Budgets of all groups.
+
+    Parameters
+    ----------
+    limits : RepeatLimits
+        Limits for all instances together.
+    """
+
+    def __init__(self, limits: RepeatLimits) -> None:
+        self._limits = limits
+        self._budgets: dict[str, GroupBudget] = {}
+
+    def group(self, name: str) -> GroupBudget:
+        """Return the budget of a group, the same one for each call."""
+        if name not in self._budgets:
+            self._budgets[name] = GroupBudget(self._limits)
+        return self._budgets[name]
+
+    def keep(self, names: set[str]) -> None:
+        """Forget the groups that no configuration names any more."""
+        for name in self._budgets.keys() - names:
+            del self._budgets[name]
--- /dev/null
+++ b/jackdawpass/process/serving/timing.py
@@ -0,0 +1,113 @@
+"""When a sub-request of a route is hedged, and when a partial answer is given."""
+
+import collections.abc
+
+from jackdawpass.process import latencies
+from jackdawpass.process.serving import repeats
+from jackdawpass.request import machine
+from jackdawpass.version import routes
+
+# Percentile of a route's recent latencies after which an attempt is hedged: measured,
+# an earlier hedge gains more than the extra load costs while the budget lasts.
+HEDGE_PERCENTILE = 88.0
+# While less than half of the budget is left, only the slowest attempts are hedged.
+SCARCE_HEDGE_PERCENTILE = 96.0
+# Share of the objective by which an attempt is hedged at the latest; what is left must
+# suffice for the second target.
+MAX_HEDGE_SHARE = 0.38
+MIN_HEDGE_SECONDS = 0.004
+# Latency assumed before there are enough replies, as a share of the objective.
+ASSUMED_LATENCY_SHARE = 0.2
+# Time that an answer needs to the caller, with the time that the request took from it:
+# two crossings of 3 ms, as measured towards callers, and writing.
+CROSSING_SECONDS = 0.009
+
+
+class RouteTiming:
+    """Latencies that the sub-requests of one route had."""
+
+    def __init__(self) -> None:
+        self._recent = latencies.ServiceLatencies()
+
+    def add(self, now: float, latency: float) -> None:
+        """Note the latency of a reply, in seconds."""
+        self._recent.add(now, latency)
+
+    def typical(self, route: routes.Route) -> float:
+        """Return the ordinary latency in seconds."""
+        if not self._recent.ready:
+            return route.objective * ASSUMED_LATENCY_SHARE
+        return max(0.001, self._recent.percentile(50))
+
+    def hedge_after(self, route: routes.Route, scarce: bool) -> float:
+        """Return the seconds after which an attempt is hedged."""
+        latest = route.objective * MAX_HEDGE_SHARE
+        if not self._recent.ready:
+            return latest
+        percentile = SCARCE_HEDGE_PERCENTILE if scarce else HEDGE_PERCENTILE
+        tracked = self._recent.percentile(percentile)
+        return max(MIN_HEDGE_SECONDS, min(latest, tracked))
+
+
+def answer_by(now: float, route: routes.Route) -> float:
+    """Return when a partial answer is worth more than a complete but late one."""
+    return now + max(route.objective - CROSSING_SECONDS, route.objective / 2)
+
+
+GroupOf = collections.abc.Callable[[str], str]
+
+
+class RequestBudget:
+    """Repeats of one request, paid by the budget of each target's group."""
+
+    def __init__(
+        self, budgets: repeats.Budgets, instances: int, group_of: GroupOf
+    ) -> None:
+        self._budgets = budgets
+        self._instances = instances
+        self._group_of = group_of
+
+    def on_first_attempts(self, now: float, count: int) -> None:
+        """Do nothing: requests are counted as they arrive, sent on or not."""
+
+    def try_spend(self, now: float, target: str = "") -> bool:
+        """Take the budget for one extra sub-request; False when there is none."""
+        budget = self._budgets.group(self._group_of(target))
+        return budget.try_spend(now, self._instances)
+
+    def scarce(self, now: float, target: str) -> bool:
+        """Return whether less than half of the budget of a target's group is left."""
+        budget = self._budgets.group(self._group_of(target))
+        return budget.share_left(now, self._instances) < 0.5
+
+    def spent(self, now: float, target: str) -> bool:
+        """Return whether what is left has to be kept for retries."""
+        budget = self._budgets.group(self._group_of(target))
+        left = budget.share_left(now, self._instances)
+        return left < repeats.RETRY_RESERVE_SHARE
+
+
+class RouteHedging:
+    """Hedges the attempts of one request by the latencies of its route."""
+
+    def __init__(
+        self, route: routes.Route, timing: RouteTiming, budget: RequestBudget
+    ) -> None:
+        self._route = route
+        self._timing = timing
+        self._budget = budget
+
+    def delay(self, now: float, target: str) -> float | None:
+        """Return the seconds to the hedge, or None for no hedge."""
+        if not self._route.idempotent or self._budget.spent(now, target):
+            return None
+        scarce = self._budget.scarce(now, target)
+        return self._timing.hedge_after(self._route, scarce)
+
+
+class NoOtherSnapshot:
+    """A request keeps the configuration version that it began with."""
+
+    def published_after(self, snapshot: str) -> machine.PinnedSnapshot | None:
+        """Return None."""
+        return None
--- a/jackdawpass/process/submission.py
+++ b/jackdawpass/process/submission.py
@@ -82,6 +82,11 @@
         """The attempt."""
         return self._attempt
 
+    @property
+    def sent(self) -> bool:
+        """True once the target may have read bytes of the attempt."""
+        return self._state is _State.SENT
+
     def start(self) -> None:
         """Send the attempt as soon as a connection is free."""
         self._state = _State.CONNECTING
@@ -100,7 +105,7 @@
         if self._connection is not None:
             # A reply may still arrive on it, which must not reach another request.
             age = clock.monotonic() - self._sent_at
-            self._connection.abort()
+            self._pool.abandon(self._connection)
             self._connection = None
             self._tell_target()
         self._end(Cancelled(age))
@@ -111,10 +116,11 @@
         The aborted connection says so too, but a target may notice that only when it
         writes its reply.
         """
-        connection = self._pool.take_idle()
-        if connection is not None:
+        request = self._wire.encode_cancel(self._attempt)
+        connection = None if request is None else self._pool.take_idle()
+        if request is not None and connection is not None:
             release = functools.partial(_release, self._pool, connection)
-            connection.send(self._wire.encode_cancel(self._attempt), release)
+            connection.send(request, release)
 
     def _on_connection(self, connection: exchange.Exchange | None) -> None:
         if self._state is _State.ENDED:
@@ -134,7 +140,8 @@
         self._sent_at = now
         self._connection = connection
         request = self._wire.encode_run(self._attempt, remaining, self._query)
-        connection.send(request, self._on_done)
+        belongs = functools.partial(self._wire.belongs, self._attempt)
+        connection.send(request, self._on_done, belongs)
         self._listener.on_sent(self._attempt.attempt_id)
 
     def _on_done(self, outcome: dialect.HttpReply | exchange.Loss) -> None:
--- a/jackdawpass/request/fanout.py
+++ b/jackdawpass/request/fanout.py
@@ -1,5 +1,6 @@
 """State machine of one idempotent query over many shards."""
 
+import collections
 import dataclasses
 
 from jackdawpass.request import machine, merge, model, outstanding, problems, refusals
@@ -27,6 +28,8 @@
         Bounds hedges and retries.
     source : SnapshotSource
         Gives the snapshot to start over on when the pinned one is gone.
+    merger : callable
+        Makes what merges the replies of the given shards.
     """
 
     def __init__(
@@ -36,15 +39,19 @@
         hedging: machine.Hedging,
         budget: machine.Budget,
         source: machine.SnapshotSource,
+        merger: machine.Merger = merge.Merge,
     ) -> None:
         self._plan = plan
         self._router = router
         self._hedging = hedging
         self._budget = budget
         self._source = source
-        self._merge = merge.Merge(plan.shards)
+        self._merger = merger
+        self._merge = merger(plan.shards)
         self._outstanding = outstanding.Outstanding()
         self._excluded: dict[int, set[str]] = {}
+        # Sub-requests per shard that a target may have seen.
+        self._tries: collections.Counter[int] = collections.Counter()
         self._reasons: dict[int, model.MissingReason] = {}
         self._snapshot_lost: set[int] = set()
         # Uncovered shards that no outstanding attempt can cover.
@@ -74,16 +81,16 @@
         assignments = self._assign_all(now)
         self._first_attempts = len(assignments)
         self._budget.on_first_attempts(now, len(assignments))
-        actions = self._send(assignments, model.AttemptKind.FIRST)
+        actions = self._send(now, assignments, model.AttemptKind.FIRST)
         return self._conclude(now, actions)
 
     def on_sent(self, now: float, attempt_id: int) -> machine.Actions:
         """Note that bytes of an attempt may have been read; schedule its hedge."""
         self._may_have_run.add(attempt_id)
         attempt = self._outstanding.get(attempt_id)
-        if attempt is None or not self._plan_hedge(now, attempt):
+        if attempt is None or self._plan.hedge_unsent:
             return ()
-        return self._wake()
+        return self._wake() if self._plan_hedge(now, attempt) else ()
 
     def on_reply(
         self, now: float, attempt_id: int, reply: model.SubReply
@@ -148,11 +155,13 @@
         return assignments
 
     def _send(
-        self, assignments: tuple[machine.Assignment, ...], kind: model.AttemptKind
+        self,
+        now: float,
+        assignments: tuple[machine.Assignment, ...],
+        kind: model.AttemptKind,
     ) -> machine.Actions:
         return tuple(
-            machine.Send(self._new_attempt(assignment, kind))
-            for assignment in assignments
+            self._send_one(now, assignment, kind) for assignment in assignments
         )
 
     def _new_attempt(
@@ -174,8 +183,21 @@
         self._unreachable -= attempt.shards
         for shard in assignment.shards:
             self._excluded.setdefault(shard, set()).add(assignment.target)
+        self._tries.update(assignment.shards)
         return attempt
 
+    def _send_one(
+        self, now: float, assignment: machine.Assignment, kind: model.AttemptKind
+    ) -> machine.Send:
+        attempt = self._new_attempt(assignment, kind)
+        if self._plan.hedge_unsent:
+            self._plan_hedge(now, attempt)
+        return machine.Send(attempt)
+
+    def _may_try(self, shard: int) -> bool:
+        limit = self._plan.max_attempts
+        return limit is None or self._tries[shard] < limit
+
     def _recover(
         self,
         now: float,
@@ -191,7 +213,10 @@
             self._reasons[shard] = refusals.missing_reason(failure)
             if failure.kind in refusals.SNAPSHOT_FAILURES:
                 self._snapshot_lost.add(shard)
-        assignments = self._router.assign(now, orphans, self._excluded)
+        if refusals.reached_no_target(failure):
+            self._tries.subtract(uncovered)
+        triable = frozenset(s for s in orphans if self._may_try(s))
+        assignments = self._router.assign(now, triable, self._excluded)
         retried = frozenset[int]().union(*(entry.shards for entry in assignments))
         if (orphans - retried) & self._snapshot_lost:
             restart = self._restart(now)
@@ -199,9 +224,11 @@
                 return restart
         is_free = refusals.reached_no_target(failure)
         affordable = tuple(
-            entry for entry in assignments if is_free or self._budget.try_spend(now)
+            entry
+            for entry in assignments
+            if is_free or self._budget.try_spend(now, entry.target)
         )
-        return self._send(affordable, model.AttemptKind.RETRY)
+        return self._send(now, affordable, model.AttemptKind.RETRY)
 
     def _restart(self, now: float) -> machine.Actions:
         """Start over on the newly published snapshot, at most once."""
@@ -216,13 +243,13 @@
             self._plan, snapshot=pinned.snapshot, shards=pinned.shards
         )
         self._router = pinned.router
-        self._merge = merge.Merge(pinned.shards)
+        self._merge = self._merger(pinned.shards)
         self._unreachable = set(pinned.shards)
         self._excluded.clear()
         self._reasons.clear()
         self._snapshot_lost.clear()
         assignments = self._assign_all(now)
-        return actions + self._send(assignments, model.AttemptKind.RESTART)
+        return actions + self._send(now, assignments, model.AttemptKind.RESTART)
 
     def _send_hedges(self, now: float) -> machine.Actions:
         actions: machine.Actions = ()
@@ -231,10 +258,11 @@
             if is_mostly_unanswered:
                 self._plan_hedge(now, attempt)
                 continue
-            shards = attempt.shards & self._merge.uncovered
+            uncovered = attempt.shards & self._merge.uncovered
+            shards = frozenset(s for s in uncovered if self._may_try(s))
             for assignment in self._router.assign(now, shards, self._excluded):
-                if self._budget.try_spend(now):
-                    actions += self._send((assignment,), model.AttemptKind.HEDGE)
+                if self._budget.try_spend(now, assignment.target):
+                    actions += self._send(now, (assignment,), model.AttemptKind.HEDGE)
                 else:
                     self._plan_hedge(now, attempt)
         return actions
--- a/jackdawpass/request/machine.py
+++ b/jackdawpass/request/machine.py
@@ -111,8 +111,37 @@
     def on_first_attempts(self, now: float, count: int) -> None:
         """Note first attempts, which earn budget."""
 
-    def try_spend(self, now: float) -> bool:
-        """Take the budget for one extra sub-request; False when there is none."""
+    def try_spend(self, now: float, target: str = "") -> bool:
+        """Take the budget for one extra sub-request; False when there is none.
+
+        `target` names the target that would get it, where budgets differ by target.
+        """
+
+
+class ResultMerge(typing.Protocol):
+    """Collects what the shards replied, all from one snapshot."""
+
+    @property
+    def uncovered(self) -> collections.abc.Set[int]:
+        """Shards without a reply, as a view that changes with `add`."""
+
+    @property
+    def ratio(self) -> float:
+        """Covered share of the shards, from 0 to 1."""
+
+    def add(self, shard: int, results: typing.Any) -> bool:
+        """Add the reply of a shard; return False when the shard is already covered."""
+
+    def coverage(
+        self, reasons: collections.abc.Mapping[int, model.MissingReason]
+    ) -> model.Coverage:
+        """Return the coverage; `reasons` holds the reason of each missing shard."""
+
+    def top(self, limit: int) -> typing.Any:
+        """Return the merged results, at most `limit` of them."""
+
+
+Merger = collections.abc.Callable[[frozenset[int]], ResultMerge]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/jackdawpass/request/model.py
+++ b/jackdawpass/request/model.py
@@ -101,12 +101,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SubReply:
-    """A target's reply to one attempt, with its results by shard."""
+    """A target's reply to one attempt, with its results by shard.
+
+    Attributes
+    ----------
+    shards : mapping of int to object
+        What each shard replied, in the form that the request's merge takes.
+    """
 
     request_id: str
     attempt_id: int
     snapshot: str
-    shards: collections.abc.Mapping[int, tuple[ResultItem, ...]]
+    shards: collections.abc.Mapping[int, typing.Any]
 
 
 class FailureKind(enum.Enum):
@@ -124,6 +130,7 @@
     SHARD_MOVED = "shard_moved"
     TARGET_FAILED = "target_failed"
     MISMATCHED_REPLY = "mismatched_reply"
+    WRONG_TARGET = "wrong_target"
 
 
 class Execution(enum.Enum):
@@ -176,13 +183,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """A complete or honestly partial answer drawn from one snapshot."""
+    """A complete or honestly partial answer drawn from one snapshot.
+
+    Attributes
+    ----------
+    results : object
+        The merged results, in the form that the request's merge gives.
+    """
 
     request_id: str
     service: str
     snapshot: str
     coverage: Coverage
-    results: tuple[ResultItem, ...]
+    results: typing.Any
 
     @property
     def complete(self) -> bool:
@@ -210,6 +223,10 @@
     early_after : float or None
         Monotonic time from which a partial answer is given as soon as
         `early_coverage` is reached; None waits until the deadline.
+    max_attempts : int or None
+        Largest number of targets that a shard's sub-request is sent to.
+    hedge_unsent : bool
+        True when the delay of a hedge counts from the attempt's start, sent or not.
     """
 
     request_id: str
@@ -221,3 +238,5 @@
     min_coverage: float
     early_after: float | None = None
     early_coverage: float = 1.0
+    max_attempts: int | None = None
+    hedge_unsent: bool = False
--- a/jackdawpass/request/single_run.py
+++ b/jackdawpass/request/single_run.py
@@ -37,6 +37,8 @@
     finish_without_caller : bool
         True when the outcome is recorded for a repeat, so that a run goes on after its
         caller has gone.
+    merger : callable
+        Makes what holds the reply.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         router: machine.Router,
         budget: machine.Budget,
         finish_without_caller: bool = False,
+        merger: machine.Merger = merge.Merge,
     ) -> None:
         if len(plan.shards) != 1:
             raise ValueError("a non-idempotent request has exactly one shard")
@@ -52,7 +55,10 @@
         self._router = router
         self._budget = budget
         self._finish_without_caller = finish_without_caller
+        self._merger = merger
         self._tried: set[str] = set()
+        # Attempts that a target may have seen.
+        self._tries = 0
         self._attempt: model.Attempt | None = None
         self._sent = False
         self._finished = False
@@ -77,7 +83,7 @@
         shard = next(iter(self._plan.shards))
         if reply.snapshot != self._plan.snapshot or shard not in reply.shards:
             return self._finish(_uncertain("the target's reply is not usable"))
-        merged = merge.Merge(self._plan.shards)
+        merged = self._merger(self._plan.shards)
         merged.add(shard, reply.shards[shard])
         return self._finish(
             model.Answer(
@@ -98,6 +104,8 @@
         if failure.execution is model.Execution.MAY_HAVE_RUN:
             return self._finish(_uncertain(f"its target failed ({failure.kind.value})"))
         self._sent = False
+        if refusals.reached_no_target(failure):
+            self._tries -= 1
         return self._try_next(now, failure)
 
     def on_timer(self, now: float) -> machine.Actions:
@@ -125,10 +133,11 @@
         assignments = self._router.assign(now, self._plan.shards, {shard: self._tried})
         if not assignments:
             return self._finish(_refused(failure))
-        if failure is not None and not self._may_retry(now, failure):
-            return self._finish(_refused(failure))
         target = assignments[0].target
+        if failure is not None and not self._may_retry(now, failure, target):
+            return self._finish(_refused(failure))
         self._tried.add(target)
+        self._tries += 1
         self._attempt = model.Attempt(
             attempt_id=len(self._tried),
             request_id=self._plan.request_id,
@@ -143,8 +152,15 @@
         )
         return (machine.Send(self._attempt),)
 
-    def _may_retry(self, now: float, failure: model.AttemptFailure) -> bool:
-        return refusals.reached_no_target(failure) or self._budget.try_spend(now)
+    def _may_retry(
+        self, now: float, failure: model.AttemptFailure, target: str
+    ) -> bool:
+        limit = self._plan.max_attempts
+        if limit is not None and self._tries >= limit:
+            return False
+        if refusals.reached_no_target(failure):
+            return True
+        return self._budget.try_spend(now, target)
 
     def _cancel(self) -> machine.Actions:
         if self._attempt is None:
--- a/tests/connection/test_pool.py
+++ b/tests/connection/test_pool.py
@@ -142,7 +142,8 @@
     outcomes: list[object] = []
     connection.send(b"request", outcomes.append)
     connection.dataReceived(REPLY + extra)
-    assert outcomes == [dialect.HttpReply(200, b"{}")]
+    headers = ((b"content-length", b"2"),)
+    assert outcomes == [dialect.HttpReply(200, b"{}", headers)]
     assert transport.closed
     network.pool.release(connection)
     assert network.pool.idle == 0
--- a/tests/request/fakes.py
+++ b/tests/request/fakes.py
@@ -48,7 +48,7 @@
     def on_first_attempts(self, now: float, count: int) -> None:
         self.first_attempts += count
 
-    def try_spend(self, now: float) -> bool:
+    def try_spend(self, now: float, target: str = "") -> bool:
         if self.tokens == 0:
             return False
         self.tokens -= 1
