List again after a cut watch, and gather quick changes

Change: a failed watch is followed by a list; after a change the next watch waits 0.3 s. A refusal's status follows its outcome, so that 503 is never said of what may have run.

--- a/jackdawpass/connection/ingress.py
+++ b/jackdawpass/connection/ingress.py
@@ -212,6 +212,8 @@
         """Queue a whole request (called by the parser)."""
         self._receiving = False
         self._stop_timer()
+        if self._is_too_large():
+            return
         request = IncomingRequest(
             self._parser.get_method(),
             self._target,
@@ -220,8 +222,11 @@
         )
         self._waiting.append((request, self._parser.should_keep_alive()))
 
+    def _is_too_large(self) -> bool:
+        return self._body_bytes > self._limits.max_body_bytes
+
     def _serve_next(self) -> None:
-        if self._body_bytes > self._limits.max_body_bytes:
+        if self._is_too_large():
             self._reject(413)
             return
         if len(self._waiting) > MAX_PIPELINED:
--- a/jackdawpass/platform/callers.py
+++ b/jackdawpass/platform/callers.py
@@ -64,10 +64,7 @@
 
 
 def _encode_problem(problem: problems.Problem) -> ingress.OutgoingAnswer:
-    status = problem.status
-    if problem.outcome is model.Outcome.NOT_RUN and status == 504:
-        # Whoever may not repeat a request after a time-out may do so after this.
-        status = 503
+    status = _status(problem)
     fields = [(b"Content-Type", b"text/plain")]
     if status == 503:
         retry_after = problem.retry_after or gateway.RETRY_AFTER_SECONDS
@@ -75,6 +72,13 @@
     return ingress.OutgoingAnswer(status, tuple(fields), problem.detail.encode())
 
 
+def _status(problem: problems.Problem) -> int:
+    """Return the status; 503 promises that the request has not run and never will."""
+    if problem.outcome is model.Outcome.NOT_RUN:
+        return problem.status if problem.status < 500 else 503
+    return 502 if problem.status == 503 else problem.status
+
+
 def _encode_relayed(reply: records.RawReply) -> ingress.OutgoingAnswer:
     dropped = ingress.CONNECTION_HEADERS | {b"content-length"}
     kept = tuple((name, v) for name, v in reply.headers if name not in dropped)
--- a/jackdawpass/platform/node_file.py
+++ b/jackdawpass/platform/node_file.py
@@ -12,16 +12,35 @@
 PATH_VARIABLE = "JACKDAWPASS_NODE_FILE"
 DEFAULT_PATH = "/etc/jackdawpass/node.toml"
 
-_NAMES = {
-    "node": str,
-    "zone": str,
-    "listen.front": str,
-    "listen.readiness_address": str,
-    "platform.address": str,
-    "bounds.grace_s": float,
-    "bounds.retry_budget_ratio": float,
-    "bounds.retry_window_s": float,
-    "bounds.retry_budget_slack": float,
+Converter = collections.abc.Callable[[typing.Any], typing.Any]
+
+
+def _text(value: typing.Any) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"{value!r} is no text")
+    return value
+
+
+def _number(value: typing.Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise ValueError(f"{value!r} is no number")
+    return float(value)
+
+
+def _address(value: typing.Any) -> settings.Address:
+    return settings.Address.parse(_text(value))
+
+
+_CONVERTERS: dict[str, Converter] = {
+    "node": _text,
+    "zone": _text,
+    "listen.front": _address,
+    "listen.readiness_address": _address,
+    "platform.address": _address,
+    "bounds.grace_s": _number,
+    "bounds.retry_budget_ratio": _number,
+    "bounds.retry_window_s": _number,
+    "bounds.retry_budget_slack": _number,
 }
 
 
@@ -36,24 +55,22 @@
         return result.Failure(errors.InvalidConfiguration((fault,)))
     values: dict[str, typing.Any] = {}
     faults = []
-    for name, kind in _NAMES.items():
+    for name, convert in _CONVERTERS.items():
         try:
-            values[name] = _convert(_find(document, name), kind)
-        except (KeyError, ValueError) as error:
-            faults.append(
-                errors.Fault(
-                    name, f"is missing or no {kind.__name__} ({error})", "set it"
-                )
-            )
+            values[name] = convert(_find(document, name))
+        except KeyError:
+            faults.append(errors.Fault(name, "is missing", "set it"))
+        except ValueError as error:
+            faults.append(errors.Fault(name, str(error), "correct it"))
     if faults:
         return result.Failure(errors.InvalidConfiguration(tuple(faults)))
     return result.Success(
         settings.FrontSettings(
             instance=values["node"],
             zone=values["zone"],
-            callers=settings.Address.parse(values["listen.front"]),
-            readiness=settings.Address.parse(values["listen.readiness_address"]),
-            store=settings.Address.parse(values["platform.address"]),
+            callers=values["listen.front"],
+            readiness=values["listen.readiness_address"],
+            store=values["platform.address"],
             stop_seconds=values["bounds.grace_s"],
             repeats=repeats.RepeatLimits(
                 ratio=values["bounds.retry_budget_ratio"],
@@ -71,15 +88,3 @@
             raise KeyError(name)
         found = found[key]
     return found
-
-
-def _convert(value: typing.Any, kind: type) -> typing.Any:
-    if (
-        kind is float
-        and isinstance(value, (int, float))
-        and not isinstance(value, bool)
-    ):
-        return float(value)
-    if not isinstance(value, kind):
-        raise ValueError(repr(value))
-    return value
--- a/jackdawpass/process/serving/mirror.py
+++ b/jackdawpass/process/serving/mirror.py
@@ -17,6 +17,9 @@
 # Longest time that one watch waits; a call is priced, waiting or not. Connections that
 # fall silent meanwhile are found by keep-alive probes.
 WATCH_SECONDS = 25.0
+# Changes that come in quick succession are taken together, since each answer costs a
+# call; a change has seconds to be in force.
+GATHER_SECONDS = 0.3
 # Pauses between failed calls: the first repeat comes soon, since most failures are a
 # lost connection; the longest one bounds how late the store's return is noticed.
 FIRST_PAUSE_SECONDS = 0.05
@@ -93,6 +96,7 @@
         self._failures = 0
         self._returned_at = -math.inf
         self._revision: int | None = None
+        self._listed = False
 
     @property
     def items(self) -> collections.abc.Mapping[str, typing.Any]:
@@ -104,6 +108,11 @@
         """Revision to watch from; None when the objects have to be listed."""
         return self._revision
 
+    @property
+    def listed(self) -> bool:
+        """True once the objects were listed."""
+        return self._listed
+
     @property
     def away(self) -> bool:
         """True while the store does not answer."""
@@ -112,12 +121,13 @@
     def pause(self) -> float:
         """Return the seconds to wait before the next call."""
         if self._failures == 0:
-            return 0.0
+            return 0.0 if self._revision is None else GATHER_SECONDS
         return min(MAX_PAUSE_SECONDS, FIRST_PAUSE_SECONDS * 2 ** (self._failures - 1))
 
     def on_listing(self, now: float, listing: Listing) -> None:
         """Take over a full list."""
         self._answered(now)
+        self._listed = True
         listed = {item.name: item.content for item in listing.items}
         missing = self._items.keys() - listed.keys()
         kept = missing if self._settling(now) else set()
@@ -143,8 +153,13 @@
         self._revision = None
 
     def on_failure(self) -> None:
-        """Note a call without a usable answer."""
+        """Note a call without a usable answer, and list again.
+
+        A watch that goes on from an old revision after the store has dropped its
+        history may wait without hearing of what it missed.
+        """
         self._failures += 1
+        self._revision = None
 
     def settle_at(self) -> float | None:
         """Return when doubtful objects are to be dropped; None without any."""
@@ -208,7 +223,7 @@
     @property
     def listed(self) -> bool:
         """True once the objects were listed."""
-        return self._copy.revision is not None or bool(self._copy.items)
+        return self._copy.listed
 
     def start(self) -> None:
         """Begin to list and watch."""
@@ -257,6 +272,7 @@
             self._copy.on_history_gone()
             return
         self._copy.on_failure()
+        _logger.info("store_call_failed", kind=self._kind, reason=str(failure))
         if self._copy.away and not was_away:
             _logger.error("store_away", kind=self._kind, reason=str(failure))
 
--- /dev/null
+++ b/tests/connection/test_ingress.py
@@ -0,0 +1,190 @@
+"""Connections of callers: framing, limits, order and what a close means."""
+
+import typing
+
+import pytest
+from twisted.internet import task
+from twisted.internet.testing import StringTransport
+
+from jackdawpass.connection import ingress
+from jackdawpass.version import routes
+
+GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class Served:
+    """A request that the test answers when it likes."""
+
+    def __init__(
+        self, request: ingress.IncomingRequest, answer: ingress.OnAnswer
+    ) -> None:
+        self.request = request
+        self.answer = answer
+        self.gone = False
+
+    def caller_gone(self) -> None:
+        self.gone = True
+
+
+class Handler:
+    """Collects requests."""
+
+    def __init__(self) -> None:
+        self.caller_limits = routes.CallerLimits(100, 10, 3.0, 15.0)
+        self.closing = False
+        self.served: list[Served] = []
+        self.open: set[ingress.CallerConnection] = set()
+
+    def handle(
+        self, request: ingress.IncomingRequest, on_answer: ingress.OnAnswer
+    ) -> Served:
+        self.served.append(Served(request, on_answer))
+        return self.served[-1]
+
+    def on_open(self, connection: ingress.CallerConnection) -> None:
+        self.open.add(connection)
+
+    def on_closed(self, connection: ingress.CallerConnection) -> None:
+        self.open.discard(connection)
+
+
+class Transport(StringTransport):
+    def setTcpNoDelay(self, enabled: bool) -> None:
+        pass
+
+
+class Caller:
+    """One connection to a handler."""
+
+    def __init__(self) -> None:
+        self.clock = task.Clock()
+        self.handler = Handler()
+        self.transport = Transport()
+        self.connection = ingress.CallerConnection(self.clock, self.handler)
+        self.connection.makeConnection(self.transport)
+
+    def send(self, data: bytes) -> None:
+        self.connection.dataReceived(data)
+
+    def answer(self, position: int, body: bytes = b"ok") -> None:
+        self.handler.served[position].answer(ingress.OutgoingAnswer(200, (), body))
+        self.clock.advance(0)
+
+    @property
+    def written(self) -> bytes:
+        return self.transport.value()
+
+    @property
+    def status(self) -> bytes:
+        return self.written.split(b" ", 2)[1]
+
+
+@pytest.fixture
+def caller() -> Caller:
+    return Caller()
+
+
+def test_answer_has_a_length_and_keeps_the_connection(caller: Caller) -> None:
+    """Guards against an answer whose end a caller cannot see."""
+    caller.send(GET)
+    caller.answer(0)
+    assert caller.written == b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    assert not caller.transport.disconnecting
+
+
+def test_request_in_pieces_with_chunked_body(caller: Caller) -> None:
+    """Guards against a body that depends on how it was cut."""
+    head = b"POST /a?x=1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    for byte in head + b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n":
+        caller.send(bytes((byte,)))
+    request = caller.handler.served[0].request
+    assert (request.method, request.target) == (b"POST", b"/a?x=1")
+    assert request.body == b"abc"
+
+
+def test_pipelined_requests_are_answered_in_order(caller: Caller) -> None:
+    """Guards against an answer that reaches another request."""
+    caller.send(GET + GET.replace(b"/a", b"/b"))
+    assert len(caller.handler.served) == 1
+    caller.answer(0, b"one")
+    assert caller.handler.served[1].request.target == b"/b"
+    caller.answer(1, b"two")
+    assert caller.written.index(b"one") < caller.written.index(b"two")
+
+
+def test_close_of_the_caller_gives_the_request_up(caller: Caller) -> None:
+    """Guards against targets that work for a caller who has left."""
+    caller.send(GET)
+    caller.connection.connectionLost()
+    assert caller.handler.served[0].gone
+    assert not caller.handler.open
+    caller.answer(0)
+    assert caller.written == b""
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"GET /a HTTP/1.1\r\nX: " + b"x" * 200, b"431"),
+        (b"POST /a HTTP/1.1\r\nContent-Length: 11\r\n\r\n" + b"x" * 11, b"413"),
+        (
+            b"POST / HTTP/1.1\r\nContent-Length: 1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"400",
+        ),
+    ],
+)
+def test_improper_request_is_refused_and_the_connection_closed(
+    caller: Caller, data: bytes, status: bytes
+) -> None:
+    """Guards against smuggled requests and against unbounded memory."""
+    caller.send(data)
+    assert caller.status == status
+    assert caller.transport.disconnecting
+    assert not caller.handler.served
+
+
+def test_slow_head_is_given_up(caller: Caller) -> None:
+    """Guards against connections that hold memory for ever."""
+    caller.send(b"GET /a")
+    caller.clock.advance(3.0)
+    assert caller.status == b"408"
+
+
+def test_idle_connection_closes_after_its_limit(caller: Caller) -> None:
+    """Guards against closing a connection that its caller may still use."""
+    caller.send(GET)
+    caller.answer(0)
+    caller.clock.advance(14.9)
+    assert not caller.transport.disconnecting
+    caller.clock.advance(0.2)
+    assert caller.transport.disconnecting
+
+
+def test_long_answer_is_not_cut_by_the_idle_limit(caller: Caller) -> None:
+    """Guards against closing while a request is being served."""
+    caller.send(GET)
+    caller.clock.advance(60)
+    caller.answer(0)
+    assert caller.written.startswith(b"HTTP/1.1 200")
+
+
+def test_planned_stop_announces_the_close_with_the_answer(caller: Caller) -> None:
+    """Guards against callers who send more on a connection that goes away."""
+    caller.send(GET)
+    assert not caller.connection.idle
+    caller.handler.closing = True
+    caller.answer(0)
+    assert b"Connection: close" in caller.written
+    assert caller.transport.disconnecting
+
+
+def test_answer_given_at_once_is_sent_once(caller: Caller) -> None:
+    """Guards against a handler that answers before it returns."""
+    plain: typing.Any = caller.handler
+    answer = ingress.OutgoingAnswer(503, ((b"Retry-After", b"0.1"),), b"")
+    plain.handle = lambda request, on_answer: on_answer(answer)
+    caller.send(GET)
+    assert caller.written.count(b"HTTP/1.1 503 Service Unavailable") == 1
+    assert caller.connection.idle
--- /dev/null
+++ b/tests/platform/test_node_file.py
@@ -0,0 +1,51 @@
+"""The settings file that the platform lays down."""
+
+import pytest
+from returns import result
+
+from jackdawpass.platform import node_file
+from jackdawpass.process.serving import settings
+
+TEXT = """
+node = "front-1"
+zone = "a"
+later = "ignored"
+[listen]
+front = "10.0.0.1:80"
+readiness_address = "10.0.0.1:81"
+[bounds]
+grace_s = 6
+retry_budget_ratio = 0.2
+retry_window_s = 10
+retry_budget_slack = 129
+[platform]
+address = "10.9.0.1:8102"
+"""
+
+
+def test_file_becomes_settings() -> None:
+    """Guards against misread units and addresses."""
+    got = node_file.parse(TEXT).unwrap()
+    assert (got.instance, got.zone) == ("front-1", "a")
+    assert got.callers == settings.Address("10.0.0.1", 80)
+    assert got.store == settings.Address("10.9.0.1", 8102)
+    assert got.repeats.slack == 129
+    assert got.stop_seconds == 6
+
+
+def test_all_faults_are_reported_at_once() -> None:
+    """Guards against an operator who mends one fault a start."""
+    text = TEXT.replace('zone = "a"', "zone = 3").replace("grace_s = 6", "")
+    text = text.replace('"10.9.0.1:8102"', '"nowhere"')
+    failure = node_file.parse(text).failure()
+    assert {fault.path for fault in failure.faults} == {
+        "zone",
+        "bounds.grace_s",
+        "platform.address",
+    }
+
+
+@pytest.mark.parametrize("text", ["node = ", "", "[listen]\nfront = 1"])
+def test_unreadable_file_is_a_fault(text: str) -> None:
+    """Guards against a process that runs on without its settings."""
+    assert isinstance(node_file.parse(text), result.Failure)
--- /dev/null
+++ b/tests/process/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of serving routes of listed targets."""
--- /dev/null
+++ b/tests/request/test_records.py
@@ -0,0 +1,51 @@
+"""Merges of raw replies against a naive one."""
+
+import hypothesis
+from hypothesis import strategies
+
+from jackdawpass.request import records
+
+BODIES = strategies.lists(strategies.binary(max_size=100), min_size=1, max_size=6)
+
+
+def reply(body: bytes, signature: str = "s") -> records.RawReply:
+    return records.RawReply(200, (), body, signature)
+
+
+def naive_top(bodies: list[bytes], limit: int) -> bytes:
+    found = []
+    for body in bodies:
+        while len(body) >= records.RECORD_BYTES:
+            found.append(body[: records.RECORD_BYTES])
+            body = body[records.RECORD_BYTES :]
+    return b"".join(sorted(found, reverse=True)[:limit])
+
+
+@hypothesis.given(BODIES, strategies.integers(1, 8))
+def test_top_equals_naive_sort(bodies: list[bytes], limit: int) -> None:
+    """Guards against lost, doubled or misordered records; equal ones all count."""
+    merged = records.RecordMerge(frozenset(range(len(bodies))))
+    for shard, body in enumerate(bodies):
+        assert merged.add(shard, reply(body, str(shard)))
+    top = merged.top(limit)
+    assert top.records == naive_top(bodies, limit)
+    assert top.signatures == tuple(str(shard) for shard in range(len(bodies)))
+
+
+def test_second_reply_of_a_shard_is_ignored() -> None:
+    """Guards against a hedge that doubles records or names a shard twice."""
+    merged = records.RecordMerge(frozenset((0, 1)))
+    assert merged.add(0, reply(b"a" * 16, "first"))
+    assert not merged.add(0, reply(b"b" * 16, "second"))
+    assert merged.top(5) == records.TopRecords(("first",), b"a" * 16)
+    assert merged.uncovered == {1}
+    assert merged.ratio == 0.5
+    assert [each.shard for each in merged.coverage({}).missing] == [1]
+
+
+def test_relayed_reply_is_the_only_one() -> None:
+    """Guards against a changed reply of a single target."""
+    merged = records.RelayMerge(frozenset((0,)))
+    original = reply(b"body")
+    merged.add(0, original)
+    assert merged.top(0) is original
--- /dev/null
+++ b/tests/version/test_routes.py
@@ -0,0 +1,79 @@
+"""Choice of a route and of its part of a split."""
+
+import collections
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from jackdawpass.version import routes
+
+
+def route(name: str, prefix: str, **changes: object) -> routes.Route:
+    values: dict[str, object] = {
+        "name": name,
+        "host": "h",
+        "prefix": prefix,
+        "idempotent": True,
+        "shards": (),
+        "split": (routes.WeightedGroup("g", 1.0),),
+        "timeout": 1.0,
+        "objective": 0.1,
+    }
+    return routes.Route(**(values | changes))  # type: ignore[arg-type]
+
+
+def table(*all_routes: routes.Route) -> routes.RoutingTable:
+    return routes.RoutingTable(1, all_routes, (), routes.CallerLimits())
+
+
+@pytest.mark.parametrize(
+    ("path", "name"),
+    [
+        ("/a/b/c", "deep"),
+        ("/a/b/", "deep"),
+        ("/a/b", "shallow"),
+        ("/a/x/y", "shallow"),
+        ("/b/", None),
+        ("/", None),
+        ("", None),
+    ],
+)
+def test_longest_prefix_wins(path: str, name: str | None) -> None:
+    """Guards against a request that goes to another route's targets."""
+    found = table(route("shallow", "/a/"), route("deep", "/a/b/")).match("h", path)
+    assert (None if found is None else found.name) == name
+
+
+PATHS = strategies.text(alphabet="ab/", max_size=8).map(lambda rest: "/" + rest)
+
+
+@hypothesis.given(strategies.sets(PATHS.map(lambda p: p.rstrip("/") + "/")), PATHS)
+def test_match_equals_a_scan_of_all_routes(prefixes: set[str], path: str) -> None:
+    """Guards against the fast lookup missing a route."""
+    found = table(*(route(prefix, prefix) for prefix in prefixes)).match("h", path)
+    fitting = [prefix for prefix in prefixes if path.startswith(prefix)]
+    assert (found.name if found else None) == max(fitting, key=len, default=None)
+
+
+def test_other_host_has_no_route() -> None:
+    """Guards against routes that leak to other hosts."""
+    assert table(route("r", "/a/")).match("other", "/a/") is None
+
+
+def test_split_follows_the_weights() -> None:
+    """Guards against a part that gets more or less than its share."""
+    split = (
+        routes.WeightedGroup("x", 3),
+        routes.WeightedGroup("none", 0),
+        routes.WeightedGroup("y", 1),
+    )
+    shared = route("r", "/a/", split=split)
+    generator = random.Random(3)
+    counts = collections.Counter(
+        shared.pick_group(generator.random()) for _ in range(4000)
+    )
+    assert counts["none"] == 0
+    assert counts["x"] / 4000 == pytest.approx(0.75, abs=0.03)
+    assert shared.pick_group(0.9999999999999999) == "y"
