Check the store by cheap calls and list again when it is back

Change: a check that costs a tenth of a call runs every 1.2 s; while it fails no other call is made, and when it succeeds again both mirrors give up their call and list. Tests play the swallowed watch and the return.

--- a/jackdawpass/platform/store.py
+++ b/jackdawpass/platform/store.py
@@ -20,6 +20,8 @@
 # The store answers in 4 ms, when slow in some 250 ms.
 CALL_TIMEOUT_SECONDS = 1.5
 CONNECT_TIMEOUT_SECONDS = 1.0
+# Three times what the store takes when it is slow.
+CHECK_TIMEOUT_SECONDS = 0.8
 # What a watch may take beyond its wait.
 WATCH_GRACE_SECONDS = 1.5
 
@@ -59,6 +61,7 @@
     at: int
 
 
+CheckResult = result.Result[None, errors.PlatformUnavailable]
 CreateResult = result.Result[bool, errors.PlatformUnavailable]
 _Reply = result.Result[dialect.HttpReply, errors.PlatformUnavailable]
 _Calls = typing.Generator[defer.Deferred[typing.Any], typing.Any, typing.Any]
@@ -145,6 +148,13 @@
         events = reply.bind(functools.partial(_decode, _Events, (200,)))
         return events.map(functools.partial(self._changes, kind))
 
+    @defer.inlineCallbacks
+    def check(self, kind: str, name: str) -> _Calls:
+        """Ask for one object, whether it exists or not, in the cheapest way."""
+        path = f"{_path(kind, {})}/{urllib.parse.quote(name)}?allow_stale=1"
+        reply = yield self._call("GET", path, CHECK_TIMEOUT_SECONDS)
+        return reply.bind(_decode_check)
+
     @defer.inlineCallbacks
     def create(self, kind: str, name: str, content: object) -> _Calls:
         """Create an object; return whether it was new."""
@@ -176,7 +186,13 @@
         if body:
             head += "Content-Type: application/json\r\n"
             head += f"Content-Length: {len(body)}\r\n"
-        call = _Call(defer.Deferred())
+
+        def give_up(_: defer.Deferred[_Reply]) -> None:
+            if timer.active():
+                timer.cancel()
+            self._end(call, "given up")
+
+        call = _Call(defer.Deferred(give_up))
         timer = self._reactor.callLater(timeout, self._end, call, "no answer in time")
 
         def on_connection(connection: exchange.Exchange | None) -> None:
@@ -233,6 +249,12 @@
         return result.Failure(errors.PlatformUnavailable(str(error)))
 
 
+def _decode_check(reply: dialect.HttpReply) -> CheckResult:
+    if reply.status not in (200, 404):
+        return result.Failure(errors.PlatformUnavailable(f"status {reply.status}"))
+    return result.Success(None)
+
+
 def _decode_creation(reply: dialect.HttpReply) -> CreateResult:
     if reply.status == _EXISTS:
         return result.Success(False)
--- a/jackdawpass/process/serving/census.py
+++ b/jackdawpass/process/serving/census.py
@@ -25,6 +25,11 @@
     def list(self, kind: str, stale: bool = False) -> defer.Deferred[mirror.ListResult]:
         """Read all objects; `stale` allows a cheap and older answer."""
 
+    def check(
+        self, kind: str, name: str
+    ) -> defer.Deferred[result.Result[None, typing.Any]]:
+        """Ask for one object, whether it exists or not, in the cheapest way."""
+
     def create(
         self, kind: str, name: str, content: object
     ) -> defer.Deferred[result.Result[bool, typing.Any]]:
--- a/jackdawpass/process/serving/front.py
+++ b/jackdawpass/process/serving/front.py
@@ -13,6 +13,7 @@
     census,
     gateway,
     mirror,
+    pulse,
     readiness,
     settings,
     shutdown,
@@ -82,15 +83,24 @@
         self._gateway = gateway.Gateway(
             reactor, options.zone, adapter.wire, options.repeats, generator
         )
+        self._pulse = pulse.Pulse(
+            reactor, adapter.store, options.instance, self._on_store_back, generator
+        )
         self._tables = mirror.Mirror(
             reactor,
             adapter.store,
+            self._pulse,
             adapter.configuration_kind,
             self._on_tables,
             generator,
         )
         self._listed = mirror.Mirror(
-            reactor, adapter.store, adapter.targets_kind, self._on_targets, generator
+            reactor,
+            adapter.store,
+            self._pulse,
+            adapter.targets_kind,
+            self._on_targets,
+            generator,
         )
         self._census = census.Census(
             reactor, adapter.store, options.instance, self._gateway.apply_instances
@@ -134,6 +144,7 @@
             options.callers.port, factory, LISTEN_BACKLOG, options.callers.host
         )
         readiness.listen(self._reactor, options.readiness, lambda: self.ready)
+        self._pulse.start()
         self._tables.start()
         self._listed.start()
         self._census.start()
@@ -176,6 +187,7 @@
 
     def _exit(self) -> None:
         self._ticker.stop()
+        self._pulse.stop()
         self._tables.stop()
         self._listed.stop()
         _logger.info("stopped", connections=len(self._connections))
@@ -184,6 +196,10 @@
         self._port.stopListening()
         self._stopped.callback(None)
 
+    def _on_store_back(self) -> None:
+        self._tables.refresh()
+        self._listed.refresh()
+
     def _on_tables(self, items: collections.abc.Mapping[str, typing.Any]) -> None:
         for table in items.values():
             if isinstance(table, routes.RoutingTable):
--- a/jackdawpass/process/serving/mirror.py
+++ b/jackdawpass/process/serving/mirror.py
@@ -161,6 +161,11 @@
         self._failures += 1
         self._revision = None
 
+    def on_lapse(self) -> None:
+        """Note that the store was away, whatever the copy's own calls met."""
+        self._failures = max(self._failures, FAILURES_TO_BE_AWAY)
+        self._revision = None
+
     def settle_at(self) -> float | None:
         """Return when doubtful objects are to be dropped; None without any."""
         return self._returned_at + RETURN_SECONDS if self._doubtful else None
@@ -186,6 +191,17 @@
 OnItems = collections.abc.Callable[[collections.abc.Mapping[str, typing.Any]], None]
 
 
+class Pulse(typing.Protocol):
+    """Knows whether the store answers, by cheaper calls."""
+
+    @property
+    def away(self) -> bool:
+        """True while the store does not answer."""
+
+    def when_back(self) -> defer.Deferred[None]:
+        """Fire when the store answers again."""
+
+
 class Mirror:
     """Keeps the copy of one kind of object.
 
@@ -195,6 +211,8 @@
         Sets timers.
     store : Store
         The platform's store.
+    pulse : Pulse
+        Tells when calls are in vain.
     kind : str
         Kind of the objects.
     on_items : callable
@@ -207,13 +225,16 @@
         self,
         reactor: typing.Any,
         store: Store,
+        pulse: Pulse,
         kind: str,
         on_items: OnItems,
         generator: random.Random,
     ) -> None:
         self._reactor = reactor
         self._store = store
+        self._pulse = pulse
         self._kind = kind
+        self._call: defer.Deferred[typing.Any] | None = None
         self._on_items = on_items
         self._random = generator
         self._copy = Copy()
@@ -233,16 +254,22 @@
         """Make no further calls."""
         self._running = False
 
+    def refresh(self) -> None:
+        """List again: the store was away, and may have lost a call under way."""
+        self._copy.on_lapse()
+        if self._call is not None:
+            self._call.cancel()
+
     @defer.inlineCallbacks
     def _follow(
         self,
     ) -> typing.Generator[defer.Deferred[typing.Any], typing.Any, None]:
         while self._running:
-            revision = self._copy.revision
-            if revision is None:
-                answer = yield self._store.list(self._kind)
-            else:
-                answer = yield self._store.watch(self._kind, revision, WATCH_SECONDS)
+            if self._pulse.away:
+                yield self._pulse.when_back()
+            self._call = self._next_call()
+            answer = yield self._call
+            self._call = None
             if not self._running:
                 return
             self._take(clock.monotonic(), answer)
@@ -251,8 +278,13 @@
                 jittered = pause * self._random.uniform(0.5, 1.0)
                 yield task.deferLater(self._reactor, jittered, lambda: None)
 
+    def _next_call(self) -> defer.Deferred[typing.Any]:
+        revision = self._copy.revision
+        if revision is None:
+            return self._store.list(self._kind)
+        return self._store.watch(self._kind, revision, WATCH_SECONDS)
+
     def _take(self, now: float, answer: ListResult | WatchResult) -> None:
-        was_away = self._copy.away
         if isinstance(answer, result.Success):
             news = answer.unwrap()
             if isinstance(news, Listing):
@@ -261,8 +293,6 @@
                 self._copy.on_changes(now, news)
                 if not news.changed and not news.deleted:
                     return
-            if was_away:
-                _logger.info("store_back", kind=self._kind)
             self._on_items(self._copy.items)
             self._plan_settling(now)
             return
@@ -273,8 +303,6 @@
             return
         self._copy.on_failure()
         _logger.info("store_call_failed", kind=self._kind, reason=str(failure))
-        if self._copy.away and not was_away:
-            _logger.error("store_away", kind=self._kind, reason=str(failure))
 
     def _plan_settling(self, now: float) -> None:
         at = self._copy.settle_at()
--- /dev/null
+++ b/jackdawpass/process/serving/pulse.py
@@ -0,0 +1,95 @@
+"""Whether the platform's store answers this instance."""
+
+import collections.abc
+import random
+import typing
+
+from returns import result
+from twisted.internet import defer, task
+
+from jackdawpass.process import logs
+from jackdawpass.process.serving import census
+
+_logger = logs.get_logger(__name__)
+
+# Time between checks. A watch that was swallowed by a silent store is noticed by them,
+# and a target that leaves must be known within three seconds.
+CHECK_SECONDS = 1.2
+# Time between checks while the store is away.
+AWAY_CHECK_SECONDS = 0.4
+
+
+class Pulse:
+    """Checks the store again and again by a call that costs a tenth of others.
+
+    Parameters
+    ----------
+    on_back : callable
+        Called when the store answers after it did not.
+    """
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        store: census.Store,
+        instance: str,
+        on_back: collections.abc.Callable[[], None],
+        generator: random.Random,
+    ) -> None:
+        self._reactor = reactor
+        self._store = store
+        self._instance = instance
+        self._on_back = on_back
+        self._random = generator
+        self._away = False
+        self._running = True
+        self._waiting: list[defer.Deferred[None]] = []
+
+    @property
+    def away(self) -> bool:
+        """True while the store does not answer."""
+        return self._away
+
+    def when_back(self) -> defer.Deferred[None]:
+        """Fire when the store answers again."""
+        waiting: defer.Deferred[None] = defer.Deferred()
+        self._waiting.append(waiting)
+        return waiting
+
+    def start(self) -> None:
+        """Begin to check."""
+        self._follow().addErrback(self._crashed)
+
+    def stop(self) -> None:
+        """Make no further calls."""
+        self._running = False
+
+    @defer.inlineCallbacks
+    def _follow(
+        self,
+    ) -> typing.Generator[defer.Deferred[typing.Any], typing.Any, None]:
+        while self._running:
+            checked = yield self._store.check(census.KIND, self._instance)
+            self._take(checked)
+            seconds = AWAY_CHECK_SECONDS if self._away else CHECK_SECONDS
+            jittered = seconds * self._random.uniform(0.8, 1.0)
+            yield task.deferLater(self._reactor, jittered, lambda: None)
+
+    def _take(self, checked: result.Result[None, typing.Any]) -> None:
+        if not isinstance(checked, result.Success):
+            if not self._away:
+                _logger.error("store_away", reason=str(checked.failure()))
+            self._away = True
+            return
+        if not self._away:
+            return
+        self._away = False
+        _logger.info("store_back")
+        waiting, self._waiting = self._waiting, []
+        for each in waiting:
+            each.callback(None)
+        self._on_back()
+
+    def _crashed(self, reason: typing.Any) -> None:
+        _logger.error("pulse_failed", reason=str(reason.value))
+        self._reactor.callLater(CHECK_SECONDS, self.start)
--- a/tests/process/serving/test_mirror.py
+++ b/tests/process/serving/test_mirror.py
@@ -37,10 +37,22 @@
 
     def _call(self, call: str) -> defer.Deferred[typing.Any]:
         self.calls.append(call)
-        self.pending = defer.Deferred()
+        self.pending = defer.Deferred(lambda given_up: given_up.callback(DOWN))
         return self.pending
 
 
+class FixedPulse:
+    """Says what the test sets."""
+
+    def __init__(self) -> None:
+        self.away = False
+        self.waiting: list[defer.Deferred[None]] = []
+
+    def when_back(self) -> defer.Deferred[None]:
+        self.waiting.append(defer.Deferred())
+        return self.waiting[-1]
+
+
 class World:
     """A mirror with its store and a clock."""
 
@@ -48,10 +60,12 @@
         self.clock = task.Clock()
         monkeypatch.setattr(clock, "monotonic", self.clock.seconds)
         self.store = ScriptedStore()
+        self.pulse = FixedPulse()
         self.seen: list[set[str]] = []
         self.mirror = mirror.Mirror(
             self.clock,
             self.store,
+            self.pulse,
             "servers",
             lambda got: self.seen.append(set(got)),
             random.Random(1),
@@ -154,3 +168,29 @@
     world.lists(7, "a")
     world.clock.advance(mirror.MAX_PAUSE_SECONDS)
     assert world.store.calls.count("list") == 2
+
+
+def test_watch_lost_in_an_outage_is_given_up_when_the_store_is_back(
+    world: World,
+) -> None:
+    """Guards against a swallowed watch that hears of no target that leaves."""
+    world.lists(7, "a", "b")
+    world.mirror.refresh()
+    world.clock.advance(mirror.MAX_PAUSE_SECONDS)
+    assert world.store.calls[-1] == "list"
+    world.lists(9, "a")
+    assert world.seen[-1] == {"a", "b"}
+    world.clock.advance(mirror.RETURN_SECONDS)
+    assert world.seen[-1] == {"a"}
+
+
+def test_no_priced_calls_while_the_store_is_away(world: World) -> None:
+    """Guards against calls that are in vain."""
+    world.lists(7, "a")
+    world.pulse.away = True
+    world.store.answer(DOWN)
+    world.clock.advance(60)
+    assert len(world.store.calls) == 2
+    world.pulse.away = False
+    world.pulse.waiting[0].callback(None)
+    assert world.store.calls[-1] == "list"
