Leave the balancer's rotation while cut off from the other zones

Change: an instance that reaches neither targets of other zones nor the store says that it is not ready, closes connections after their answer, and refuses at once what the zone's targets cannot cover; the balancer then sends callers to the nearest zones.

--- a/jackdawpass/platform/store.py
+++ b/jackdawpass/platform/store.py
@@ -20,8 +20,8 @@
 # The store answers in 4 ms, when slow in some 250 ms.
 CALL_TIMEOUT_SECONDS = 1.5
 CONNECT_TIMEOUT_SECONDS = 1.0
-# Three times what the store takes when it is slow.
-CHECK_TIMEOUT_SECONDS = 0.8
+# Twice what the store takes when it is slow.
+CHECK_TIMEOUT_SECONDS = 0.5
 # What a watch may take beyond its wait.
 WATCH_GRACE_SECONDS = 1.5
 
--- a/jackdawpass/process/serving/front.py
+++ b/jackdawpass/process/serving/front.py
@@ -81,8 +81,14 @@
         self._options = options
         self._adapter = adapter
         self._gateway = gateway.Gateway(
-            reactor, options.zone, adapter.wire, options.repeats, generator
+            reactor,
+            options.zone,
+            adapter.wire,
+            options.repeats,
+            generator,
+            self._on_doubt,
         )
+        self._isolated = False
         self._pulse = pulse.Pulse(
             reactor, adapter.store, options.instance, self._on_store_back, generator
         )
@@ -118,6 +124,7 @@
             self._gateway.table is not None
             and self._listed.listed
             and not self._shutdown.begun
+            and not self._isolated
         )
 
     @property
@@ -129,7 +136,7 @@
     @property
     def closing(self) -> bool:
         """True when connections close after their next answer."""
-        return self._shutdown.begun
+        return self._shutdown.begun or self._isolated
 
     @property
     def stopped(self) -> defer.Deferred[None]:
@@ -177,6 +184,7 @@
         log = logs.current()
         if log is not None:
             log.tick(now)
+        self._review_reach(now)
         idle = [each for each in self._connections if each.idle]
         step = self._shutdown.next_step(now, len(self._connections) - len(idle))
         if step is shutdown.Step.CLOSE_IDLE:
@@ -196,7 +204,17 @@
         self._port.stopListening()
         self._stopped.callback(None)
 
+    def _on_doubt(self) -> None:
+        self._pulse.hurry()
+
+    def _review_reach(self, now: float) -> None:
+        isolated = self._gateway.review_reach(now, self._pulse.away)
+        if isolated != self._isolated:
+            self._isolated = isolated
+            _logger.info("isolated" if isolated else "reaches_other_zones")
+
     def _on_store_back(self) -> None:
+        self._gateway.on_store_back()
         self._tables.refresh()
         self._listed.refresh()
 
--- a/jackdawpass/process/serving/gateway.py
+++ b/jackdawpass/process/serving/gateway.py
@@ -7,7 +7,14 @@
 
 from jackdawpass import clock
 from jackdawpass.process import shares, submission
-from jackdawpass.process.serving import journal, repeats, sender, targets, timing
+from jackdawpass.process.serving import (
+    journal,
+    reach,
+    repeats,
+    sender,
+    targets,
+    timing,
+)
 from jackdawpass.request import (
     fanout,
     machine,
@@ -28,6 +35,15 @@
 # Time before the deadline at which the last answer leaves, so that it arrives.
 ANSWER_SECONDS = 0.010
 MIN_DEADLINE_SECONDS = 0.001
+# Time in which the load balancer takes a cut-off instance out of rotation.
+CUT_OFF_RETRY_SECONDS = 1.0
+# An attempt given up after so many ordinary latencies had trouble.
+UNANSWERED_RATIO = 2.0
+_LOST_KINDS = (
+    model.FailureKind.CONNECT_FAILED,
+    model.FailureKind.CONNECTION_LOST,
+    model.FailureKind.TIMED_OUT,
+)
 
 Outcome = model.Answer | problems.Problem
 OnOutcome = collections.abc.Callable[[Outcome], None]
@@ -85,6 +101,8 @@
         Limits of repeats for all instances together.
     generator : random.Random
         Source of all random choices.
+    on_doubt : callable
+        Called when targets of other zones seem to be out of reach.
     """
 
     def __init__(
@@ -94,6 +112,7 @@
         wire: typing.Any,
         limits: repeats.RepeatLimits,
         generator: random.Random,
+        on_doubt: collections.abc.Callable[[], None],
     ) -> None:
         self._reactor = reactor
         self._random = generator
@@ -103,6 +122,10 @@
         self._sender = sender.Sender(reactor, wire, self)
         self._table: routes.RoutingTable | None = None
         self._instances = ASSUMED_INSTANCES
+        self._zone = zone
+        self._reach = reach.Reach()
+        self._on_doubt = on_doubt
+        self._isolated = False
 
     @property
     def table(self) -> routes.RoutingTable | None:
@@ -133,6 +156,16 @@
         self._instances = max(1, count)
         self._resize()
 
+    def review_reach(self, now: float, store_away: bool) -> bool:
+        """Return whether this instance is cut off from the other zones."""
+        self._isolated = self._reach.isolated(now, store_away)
+        return self._isolated
+
+    def on_store_back(self) -> None:
+        """Note that the way out of the zone is open."""
+        self._reach.on_store_back()
+        self._isolated = False
+
     def serve(self, request: CallerRequest, on_outcome: OnOutcome) -> Running:
         """Serve a request; `on_outcome` is called once, possibly before returning."""
         now = clock.monotonic()
@@ -146,6 +179,8 @@
         groups = route.shards or (route.pick_group(self._random.random()),)
         for group in groups:
             self._budgets.group(group).on_request(now)
+        if self._isolated and self._is_out_of_reach(route, groups):
+            return _refuse(_CUT_OFF, observer, on_outcome)
 
         def finish(outcome: Outcome) -> None:
             observer.finished(outcome)
@@ -172,6 +207,8 @@
         if state is None or known is None or route is None:
             return
         typical = known.typical(route)
+        if state.listed.zone != self._zone:
+            self._note_reach(now, end, typical)
         match end:
             case submission.Replied(latency):
                 known.add(now, latency)
@@ -182,6 +219,25 @@
                 if targets.is_evidence(end):
                     state.on_failure(now)
 
+    def _note_reach(self, now: float, end: submission.End, typical: float) -> None:
+        match end:
+            case submission.Replied():
+                self._reach.on_answer(now)
+            case submission.Cancelled(age):
+                if age > UNANSWERED_RATIO * typical:
+                    self._reach.on_trouble(now)
+            case model.AttemptFailure(kind):
+                if kind in _LOST_KINDS:
+                    self._reach.on_trouble(now)
+        if self._reach.doubtful():
+            self._on_doubt()
+
+    def _is_out_of_reach(self, route: routes.Route, groups: tuple[str, ...]) -> bool:
+        """Return whether the zone's own targets cover too little of a route."""
+        reachable = sum(self._targets.has_local(group) for group in groups)
+        needed = max(route.min_coverage * len(groups), 1)
+        return reachable < needed
+
     def close(self) -> None:
         """Close the connections to targets as they become idle."""
         self._sender.close()
@@ -247,6 +303,12 @@
     "this instance has no configuration yet; retry",
     RETRY_AFTER_SECONDS,
 )
+_CUT_OFF = problems.not_run(
+    problems.ProblemKind.NO_TARGET,
+    "this instance is cut off from the zones that hold the request's shards; "
+    "retry at another one",
+    CUT_OFF_RETRY_SECONDS,
+)
 _NO_ROUTE = problems.not_run(
     problems.ProblemKind.UNKNOWN_SERVICE,
     "no route matches the host and path; check them against the configuration",
@@ -263,5 +325,6 @@
 
 def _with_return_time(outcome: Outcome) -> Outcome:
     if isinstance(outcome, problems.Problem) and outcome.retry_after is not None:
-        return dataclasses.replace(outcome, retry_after=RETRY_AFTER_SECONDS)
+        if outcome.retry_after > RETRY_AFTER_SECONDS:
+            return dataclasses.replace(outcome, retry_after=RETRY_AFTER_SECONDS)
     return outcome
--- a/jackdawpass/process/serving/pulse.py
+++ b/jackdawpass/process/serving/pulse.py
@@ -44,6 +44,8 @@
         self._away = False
         self._running = True
         self._waiting: list[defer.Deferred[None]] = []
+        self._sleep: defer.Deferred[typing.Any] | None = None
+        self._may_hurry = True
 
     @property
     def away(self) -> bool:
@@ -64,16 +66,29 @@
         """Make no further calls."""
         self._running = False
 
+    def hurry(self) -> None:
+        """Check now: something else makes the store doubtful."""
+        if self._sleep is not None and self._may_hurry and not self._away:
+            self._may_hurry = False
+            self._sleep.cancel()
+
     @defer.inlineCallbacks
     def _follow(
         self,
     ) -> typing.Generator[defer.Deferred[typing.Any], typing.Any, None]:
+        was_hurried = False
         while self._running:
             checked = yield self._store.check(census.KIND, self._instance)
             self._take(checked)
             seconds = AWAY_CHECK_SECONDS if self._away else CHECK_SECONDS
             jittered = seconds * self._random.uniform(0.8, 1.0)
-            yield task.deferLater(self._reactor, jittered, lambda: None)
+            # One hurried check for each ordinary one bounds their number.
+            self._may_hurry = not was_hurried
+            self._sleep = task.deferLater(self._reactor, jittered, lambda: None)
+            self._sleep.addErrback(lambda reason: reason.trap(defer.CancelledError))
+            yield self._sleep
+            self._sleep = None
+            was_hurried = not self._may_hurry and not was_hurried
 
     def _take(self, checked: result.Result[None, typing.Any]) -> None:
         if not isinstance(checked, result.Success):
--- a/jackdawpass/process/serving/targets.py
+++ b/jackdawpass/process/serving/targets.py
@@ -157,6 +157,13 @@
         self._states = states
         self._groups = {name: tuple(each) for name, each in groups.items()}
 
+    def has_local(self, group: str) -> bool:
+        """Return whether a group has a target to use in the zone."""
+        return any(
+            state.listed.zone == self._zone and not state.listed.leaving
+            for state in self._groups.get(group, ())
+        )
+
     def choose(
         self,
         now: float,
--- a/tests/process/serving/test_pulse.py
+++ b/tests/process/serving/test_pulse.py
@@ -69,3 +69,15 @@
     assert (released, world.returns, world.pulse.away) == ([None], 1, False)
     world.clock.advance(pulse.CHECK_SECONDS)
     assert world.returns == 1
+
+
+def test_doubt_hurries_one_check_for_each_ordinary_one(world: World) -> None:
+    """Guards against a store that every slow target makes instances ask."""
+    for _ in range(20):
+        world.pulse.hurry()
+    assert world.store.checks == 2
+    world.clock.advance(pulse.CHECK_SECONDS)
+    assert world.store.checks == 3
+    for _ in range(20):
+        world.pulse.hurry()
+    assert world.store.checks == 4
