--- a/jackdawpass/commands/front.py
+++ b/jackdawpass/commands/front.py
@@ -15,6 +15,11 @@
 from jackdawpass.process import logs
 from jackdawpass.process.serving import front, settings
 
+_logger = logs.get_logger(__name__)
+
+# The settings file may change without a signal.
+REVIEW_SECONDS = 2.0
+
 EXAMPLE = """example:
   jackdawpass front --settings /etc/jackdawpass/node.toml --check
 
@@ -42,25 +47,49 @@
     if arguments.check:
         print(options)
         return console.EXIT_DONE
-    return _serve(options)
+    return _serve(options, path)
 
 
-def _load(path: str) -> settings.FrontSettings:
+def _read(path: str) -> str:
     try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
+        return pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise console.Failed(
             f"cannot read the settings file {path!r} ({error}); "
             "check its path and permissions"
         ) from None
-    parsed = node_file.parse(text)
+
+
+def _load(path: str) -> settings.FrontSettings:
+    parsed = node_file.parse(_read(path))
     if isinstance(parsed, result.Failure):
         raise console.Failed(str(parsed.failure()))
     return parsed.unwrap()
 
 
-def _serve(options: settings.FrontSettings) -> int:
+class _Reloader:
+    """Reads the settings file again when it has changed, told so or not."""
+
+    def __init__(self, path: str, instance: front.Front) -> None:
+        self._path = path
+        self._instance = instance
+        self._text = _read(path)
+
+    def review(self) -> None:
+        """Put a changed file in force; keep the last settings if it has faults."""
+        try:
+            text = _read(self._path)
+            if text == self._text:
+                return
+            self._text = text
+            self._instance.reload(_load(self._path))
+        except console.Failed as error:
+            _logger.error("settings_refused", reason=str(error))
+
+
+def _serve(options: settings.FrontSettings, path: str) -> int:
     from twisted.internet import reactor as process_reactor
+    from twisted.internet import task
 
     reactor: typing.Any = process_reactor
     sampler = logs.Sampler(
@@ -71,7 +100,9 @@
     instance = front.Front(reactor, options, served, random.Random())
     signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(instance.stop))
     signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(instance.stop))
-    signal.signal(signal.SIGHUP, lambda *_: None)
+    reloader = _Reloader(path, instance)
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reloader.review))
+    task.LoopingCall(reloader.review).start(REVIEW_SECONDS, now=False)
     instance.stopped.addCallback(lambda _: reactor.callLater(0.05, reactor.stop))
     instance.start()
     reactor.run(installSignalHandlers=False)
--- a/jackdawpass/commands/stand_in.py
+++ b/jackdawpass/commands/stand_in.py
@@ -7,7 +7,14 @@
 import msgspec
 
 from jackdawpass.commands import console
-from jackdawpass.standins import behaviour, host, platform, target
+from jackdawpass.standins import (
+    behaviour,
+    host,
+    listed_target,
+    object_store,
+    platform,
+    target,
+)
 
 EXAMPLE = """example:
   jackdawpass stand-in target --options '{"name": "lots-a"}'
@@ -17,7 +24,9 @@
 def add_parser(subparsers: typing.Any) -> None:
     """Add the command to the parser."""
     parser = console.add_command(subparsers, "stand-in", __doc__, EXAMPLE)
-    parser.add_argument("kind", choices=("platform", "target", "targets"))
+    parser.add_argument(
+        "kind", choices=("platform", "target", "targets", "store", "listed-target")
+    )
     parser.add_argument("--port", type=int, default=0)
     parser.add_argument(
         "--options",
@@ -44,11 +53,20 @@
     if arguments.kind == "platform":
         listening = platform.PlatformStandIn(reactor).listen(arguments.port)
         return {"port": listening.getHost().port}
+    if arguments.kind == "store":
+        listening = object_store.ObjectStore(reactor).listen(arguments.port)
+        return {"port": listening.getHost().port}
+    if arguments.kind == "listed-target":
+        chosen = msgspec.json.decode(
+            arguments.options, type=listed_target.ListedOptions
+        )
+        listed = listed_target.ListedTarget(reactor, chosen)
+        return {"port": listed.listen(arguments.port).getHost().port}
     if arguments.kind == "target":
         options = msgspec.json.decode(arguments.options, type=behaviour.TargetOptions)
         stand_in = target.TargetStandIn(reactor, options)
         return {"port": stand_in.listen(arguments.port).getHost().port}
-    listed = msgspec.json.decode(arguments.options, type=list[behaviour.TargetOptions])
-    hosted = host.TargetHost(reactor, listed)
+    several = msgspec.json.decode(arguments.options, type=list[behaviour.TargetOptions])
+    hosted = host.TargetHost(reactor, several)
     control = hosted.listen(arguments.port).getHost().port
     return {"port": control, "targets": hosted.ports}
--- a/jackdawpass/platform/adapter.py
+++ b/jackdawpass/platform/adapter.py
@@ -39,6 +39,10 @@
         """Dialect of the targets."""
         return self._wire
 
+    def move_store(self, address: settings.Address) -> None:
+        """Use the store at another address from now on."""
+        self._store.move(address.host, address.port)
+
     def serve(
         self,
         request: ingress.IncomingRequest,
--- a/jackdawpass/platform/store.py
+++ b/jackdawpass/platform/store.py
@@ -97,22 +97,21 @@
         decoders: collections.abc.Mapping[str, decoding.Decoder],
     ) -> None:
         self._reactor = reactor
-        self._host_header = f"{host}:{port}"
         self._decoders = decoders
         self._calls = 0
-        self._pool = pool.Pool(
-            reactor,
-            host,
-            port,
-            MAX_CONNECTIONS,
-            connect_timeout=CONNECT_TIMEOUT_SECONDS,
-        )
+        self._host_header = ""
+        self._pool = self._open(host, port)
 
     @property
     def calls(self) -> int:
         """Number of calls made since the start."""
         return self._calls
 
+    def move(self, host: str, port: int) -> None:
+        """Make further calls to another address."""
+        self._pool.close()
+        self._pool = self._open(host, port)
+
     def close(self) -> None:
         """Close the connections."""
         self._pool.close()
@@ -162,6 +161,16 @@
         reply = yield self._call("POST", _path(kind, {}), CALL_TIMEOUT_SECONDS, body)
         return reply.bind(_decode_creation)
 
+    def _open(self, host: str, port: int) -> pool.Pool:
+        self._host_header = f"{host}:{port}"
+        return pool.Pool(
+            self._reactor,
+            host,
+            port,
+            MAX_CONNECTIONS,
+            connect_timeout=CONNECT_TIMEOUT_SECONDS,
+        )
+
     def _changes(self, kind: str, got: _Events) -> mirror.Changes:
         # The last event of an object decides.
         latest = {event.object.meta.name: event for event in got.events}
@@ -192,13 +201,14 @@
                 timer.cancel()
             self._end(call, "given up")
 
+        connections = self._pool
         call = _Call(defer.Deferred(give_up))
         timer = self._reactor.callLater(timeout, self._end, call, "no answer in time")
 
         def on_connection(connection: exchange.Exchange | None) -> None:
             if call.ended:
                 if connection is not None:
-                    self._pool.release(connection)
+                    connections.release(connection)
                 return
             if connection is None:
                 timer.cancel()
@@ -216,10 +226,10 @@
                 return
             call.ended = True
             assert call.connection is not None
-            self._pool.release(call.connection)
+            connections.release(call.connection)
             call.done.callback(result.Success(outcome))
 
-        self._pool.acquire(on_connection)
+        connections.acquire(on_connection)
         return call.done
 
     def _end(self, call: _Call, reason: str) -> None:
--- a/jackdawpass/process/serving/front.py
+++ b/jackdawpass/process/serving/front.py
@@ -4,7 +4,7 @@
 import random
 import typing
 
-from twisted.internet import defer, task
+from twisted.internet import defer, error, task
 
 from jackdawpass import clock
 from jackdawpass.connection import ingress
@@ -12,9 +12,10 @@
 from jackdawpass.process.serving import (
     census,
     gateway,
+    meters,
     mirror,
+    pages,
     pulse,
-    readiness,
     settings,
     shutdown,
     targets,
@@ -46,6 +47,9 @@
     def wire(self) -> typing.Any:
         """Dialect of the targets."""
 
+    def move_store(self, address: settings.Address) -> None:
+        """Use the store at another address from now on."""
+
     def serve(
         self,
         request: ingress.IncomingRequest,
@@ -80,6 +84,7 @@
         self._reactor = reactor
         self._options = options
         self._adapter = adapter
+        self._meters = meters.Meters()
         self._gateway = gateway.Gateway(
             reactor,
             options.zone,
@@ -87,6 +92,7 @@
             options.repeats,
             generator,
             self._on_doubt,
+            self._meters,
         )
         self._isolated = False
         self._pulse = pulse.Pulse(
@@ -116,6 +122,8 @@
         self._port: typing.Any = None
         self._stopped: defer.Deferred[None] = defer.Deferred()
         self._ticker = task.LoopingCall(self._tick)
+        self._ticked_at = clock.monotonic()
+        self._loop_delay = 0.0
 
     @property
     def ready(self) -> bool:
@@ -150,7 +158,9 @@
         self._port = self._reactor.listenTCP(
             options.callers.port, factory, LISTEN_BACKLOG, options.callers.host
         )
-        readiness.listen(self._reactor, options.readiness, lambda: self.ready)
+        pages.listen(self._reactor, options.readiness, self._readiness_page)
+        if options.metrics_port:
+            self._listen_for_metrics()
         self._pulse.start()
         self._tables.start()
         self._listed.start()
@@ -179,8 +189,43 @@
         """Forget a connection."""
         self._connections.discard(connection)
 
+    def reload(self, options: settings.FrontSettings) -> None:
+        """Take over changed settings; addresses of its own hold until a restart."""
+        before, self._options = self._options, options
+        self._gateway.change_limits(options.repeats)
+        self._shutdown.change_limit(options.stop_seconds)
+        if options.store != before.store:
+            self._adapter.move_store(options.store)
+            self._on_store_back()
+        _logger.info("reloaded", store=str(options.store))
+
+    def _readiness_page(self) -> ingress.OutgoingAnswer:
+        return ingress.OutgoingAnswer(200 if self.ready else 503, (), b"")
+
+    def _metrics_page(self) -> ingress.OutgoingAnswer:
+        now = clock.monotonic()
+        self._gateway.measure(now)
+        self._meters.set("store_away", self._pulse.away)
+        self._meters.set("isolated", self._isolated)
+        self._meters.set("caller_connections", len(self._connections))
+        self._meters.set("loop_delay_seconds", self._loop_delay)
+        kind = ((b"Content-Type", b"text/plain; version=0.0.4"),)
+        return ingress.OutgoingAnswer(200, kind, self._meters.page())
+
+    def _listen_for_metrics(self) -> None:
+        address = settings.Address(
+            self._options.callers.host, self._options.metrics_port
+        )
+        try:
+            pages.listen(self._reactor, address, self._metrics_page)
+        except error.CannotListenError as failure:
+            # Callers are served all the same.
+            _logger.error("metrics_unavailable", reason=str(failure.socketError))
+
     def _tick(self) -> None:
         now = clock.monotonic()
+        self._loop_delay = max(0.0, now - self._ticked_at - shutdown.CHECK_SECONDS)
+        self._ticked_at = now
         log = logs.current()
         if log is not None:
             log.tick(now)
--- a/jackdawpass/process/serving/gateway.py
+++ b/jackdawpass/process/serving/gateway.py
@@ -9,6 +9,7 @@
 from jackdawpass.process import shares, submission
 from jackdawpass.process.serving import (
     journal,
+    meters,
     reach,
     repeats,
     sender,
@@ -103,6 +104,8 @@
         Source of all random choices.
     on_doubt : callable
         Called when targets of other zones seem to be out of reach.
+    measures : Meters
+        Receives the measurements.
     """
 
     def __init__(
@@ -113,6 +116,7 @@
         limits: repeats.RepeatLimits,
         generator: random.Random,
         on_doubt: collections.abc.Callable[[], None],
+        measures: meters.Meters,
     ) -> None:
         self._reactor = reactor
         self._random = generator
@@ -125,6 +129,7 @@
         self._zone = zone
         self._reach = reach.Reach()
         self._on_doubt = on_doubt
+        self._meters = measures
         self._isolated = False
 
     @property
@@ -142,6 +147,8 @@
             name: self._timings.get(name) or timing.RouteTiming() for name in names
         }
         self._budgets.keep(set(table.groups))
+        self._meters.keep(names, table.groups.keys())
+        self._meters.set("configuration_version", table.version)
         self._resize()
 
     def apply_targets(
@@ -154,8 +161,22 @@
     def apply_instances(self, count: int) -> None:
         """Take over the number of instances that share the targets."""
         self._instances = max(1, count)
+        self._meters.set("instances", count)
         self._resize()
 
+    def measure(self, now: float) -> None:
+        """Set the gauges that change with time."""
+        states = self._targets.states.values()
+        self._meters.set("targets", len(states))
+        self._meters.set("leaving_targets", sum(s.listed.leaving for s in states))
+        self._meters.set("avoided_targets", sum(s.avoided(now) for s in states))
+        least = self._budgets.least_share_left(now, self._instances)
+        self._meters.set("least_budget_ratio", least)
+
+    def change_limits(self, limits: repeats.RepeatLimits) -> None:
+        """Take over changed limits of repeats."""
+        self._budgets.change_limits(limits)
+
     def review_reach(self, now: float, store_away: bool) -> bool:
         """Return whether this instance is cut off from the other zones."""
         self._isolated = self._reach.isolated(now, store_away)
@@ -184,6 +205,7 @@
 
         def finish(outcome: Outcome) -> None:
             observer.finished(outcome)
+            self._meters.finished(route.name, clock.monotonic() - now, outcome)
             on_outcome(_with_return_time(outcome))
 
         running = runner.Runner(
@@ -206,6 +228,7 @@
         route = self._route(attempt.service)
         if state is None or known is None or route is None:
             return
+        self._meters.attempt_ended(state.listed.group, attempt, end)
         typical = known.typical(route)
         if state.listed.zone != self._zone:
             self._note_reach(now, end, typical)
--- a/jackdawpass/process/serving/readiness.py
+++ b/jackdawpass/process/serving/pages.py
@@ -1,4 +1,4 @@
-"""The load balancer's question whether this instance takes new callers."""
+"""Small pages for the load balancer and for whoever collects metrics."""
 
 import collections.abc
 import typing
@@ -7,6 +7,9 @@
 from jackdawpass.process.serving import settings
 from jackdawpass.version import routes
 
+# The balancer and the collector ask one at a time.
+BACKLOG = 16
+
 
 class _Ended:
     """An answered question."""
@@ -15,11 +18,20 @@
         """Do nothing."""
 
 
-class Readiness:
-    """Answers 200 while the instance is ready, else 503."""
+Page = collections.abc.Callable[[], ingress.OutgoingAnswer]
+
+
+class Pages:
+    """Answers every request with the same page.
+
+    Parameters
+    ----------
+    page : callable
+        Returns the page as it is now.
+    """
 
-    def __init__(self, is_ready: collections.abc.Callable[[], bool]) -> None:
-        self._is_ready = is_ready
+    def __init__(self, page: Page) -> None:
+        self._page = page
 
     @property
     def caller_limits(self) -> routes.CallerLimits:
@@ -28,15 +40,14 @@
 
     @property
     def closing(self) -> bool:
-        """Return False: the balancer may keep its connection."""
+        """Return False: whoever asks may keep the connection."""
         return False
 
     def handle(
         self, request: ingress.IncomingRequest, on_answer: ingress.OnAnswer
     ) -> ingress.Exchange:
         """Answer at once."""
-        status = 200 if self._is_ready() else 503
-        on_answer(ingress.OutgoingAnswer(status, (), b""))
+        on_answer(self._page())
         return _Ended()
 
     def on_open(self, connection: ingress.CallerConnection) -> None:
@@ -46,11 +57,7 @@
         """Do nothing."""
 
 
-def listen(
-    reactor: typing.Any,
-    address: settings.Address,
-    is_ready: collections.abc.Callable[[], bool],
-) -> None:
-    """Answer the load balancer at an address."""
-    factory = ingress.CallerFactory(reactor, Readiness(is_ready))
-    reactor.listenTCP(address.port, factory, 16, address.host)
+def listen(reactor: typing.Any, address: settings.Address, page: Page) -> None:
+    """Serve a page at an address."""
+    factory = ingress.CallerFactory(reactor, Pages(page))
+    reactor.listenTCP(address.port, factory, BACKLOG, address.host)
--- a/jackdawpass/process/serving/repeats.py
+++ b/jackdawpass/process/serving/repeats.py
@@ -48,7 +48,7 @@
     """Share of one instance in the repeats that one group may get."""
 
     def __init__(self, limits: RepeatLimits) -> None:
-        self._limits = limits
+        self.limits = limits
         self._requests = _Window(limits.window)
         self._repeats = _Window(limits.window)
 
@@ -73,8 +73,8 @@
         return True
 
     def _allowance(self, now: float, instances: int) -> float:
-        earned = self._limits.ratio * self._requests.count(now)
-        return USED_SHARE * (earned + self._limits.slack / max(1, instances))
+        earned = self.limits.ratio * self._requests.count(now)
+        return USED_SHARE * (earned + self.limits.slack / max(1, instances))
 
 
 class Budgets:
@@ -100,3 +100,14 @@
         """Forget the groups that no configuration names any more."""
         for name in self._budgets.keys() - names:
             del self._budgets[name]
+
+    def change_limits(self, limits: RepeatLimits) -> None:
+        """Take over changed limits; what was counted stays."""
+        self._limits = limits
+        for budget in self._budgets.values():
+            budget.limits = limits
+
+    def least_share_left(self, now: float, instances: int) -> float:
+        """Return the unused part of the poorest group's allowance, from 0 to 1."""
+        shares = (each.share_left(now, instances) for each in self._budgets.values())
+        return min(shares, default=1.0)
--- a/jackdawpass/process/serving/shutdown.py
+++ b/jackdawpass/process/serving/shutdown.py
@@ -31,6 +31,10 @@
         self._limit = limit
         self._begun_at: float | None = None
 
+    def change_limit(self, limit: float) -> None:
+        """Take over a changed limit."""
+        self._limit = limit
+
     @property
     def begun(self) -> bool:
         """True once the stop has begun."""
--- /dev/null
+++ b/tests/platform/site.py
@@ -0,0 +1,177 @@
+"""Real front processes with a store and targets in the platform's dialect."""
+
+import collections.abc
+import dataclasses
+import http.client
+import json
+import pathlib
+import socket
+import typing
+
+from tests import rig
+
+HOST = "shop.example"
+SETTINGS = """
+node = "{name}"
+zone = "{zone}"
+[listen]
+front = "127.0.0.1:{front}"
+readiness_address = "127.0.0.1:{ready}"
+[bounds]
+grace_s = 6
+retry_budget_ratio = 0.2
+retry_window_s = 10
+retry_budget_slack = 129
+[platform]
+address = "127.0.0.1:{store}"
+"""
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def signatures(self) -> list[str]:
+        return self.headers.get("x-part-stamps", "").replace(" ", "").split(",")
+
+
+def free_port() -> int:
+    with socket.socket() as listening:
+        listening.bind(("127.0.0.1", 0))
+        return int(listening.getsockname()[1])
+
+
+class Front:
+    """One front process."""
+
+    def __init__(self, port: int, ready: int, process: rig.PlainProcess) -> None:
+        self.port = port
+        self.ready_port = ready
+        self.process = process
+
+    def ready(self) -> bool:
+        try:
+            return self.ask("/ready", port=self.ready_port).status == 200
+        except OSError:
+            return False
+
+    def ask(
+        self,
+        path: str,
+        request_id: str = "r1",
+        patience_ms: int = 2000,
+        method: str = "GET",
+        body: bytes | None = None,
+        port: int | None = None,
+    ) -> Reply:
+        """Send one request on a connection of its own."""
+        connection = http.client.HTTPConnection("127.0.0.1", port or self.port)
+        fields = {
+            "Host": HOST,
+            "X-Attempt-Id": request_id,
+            "X-Request-Deadline": str(patience_ms),
+        }
+        try:
+            connection.request(method, path, body, fields)
+            got = connection.getresponse()
+            named = {name.lower(): value for name, value in got.getheaders()}
+            return Reply(got.status, named, got.read())
+        finally:
+            connection.close()
+
+
+class Site:
+    """A store, listed targets and fronts."""
+
+    def __init__(self, processes: rig.Rig, directory: pathlib.Path) -> None:
+        self._processes = processes
+        self._directory = directory
+        self.store = processes.start("stand-in", "store")
+        self.targets: dict[str, rig.Process] = {}
+        self._entries: dict[str, dict[str, typing.Any]] = {}
+
+    def add_target(self, name: str, group: str, zone: str = "a") -> None:
+        """Start a target and list it."""
+        options = json.dumps({"name": name, "group": group})
+        target = self._processes.start(
+            "stand-in", "listed-target", "--options", options
+        )
+        self.targets[name] = target
+        self._entries[name] = {
+            "service": group,
+            "address": f"127.0.0.1:{target.port}",
+            "zone": zone,
+            "slots": 2,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": 1,
+        }
+        self.list_target(name)
+
+    def list_target(self, name: str, **changes: typing.Any) -> None:
+        """Write a target's entry."""
+        self._entries[name] |= changes
+        self.put("servers", name, self._entries[name])
+
+    def configure(
+        self, version: int, routes: collections.abc.Iterable[dict[str, typing.Any]]
+    ) -> None:
+        """Write a configuration."""
+        groups = {entry["service"] for entry in self._entries.values()}
+        services = [{"name": name, "max_connections": 40} for name in sorted(groups)]
+        content = {"version": version, "routes": list(routes), "services": services}
+        self.put("config", "main", content)
+
+    def put(self, kind: str, name: str, content: object) -> None:
+        """Write an object."""
+        url = f"{self.store.url}/objects/{kind}/{name}"
+        answer = rig.call("PUT", url, {"meta": {"name": name}, "spec": content})
+        assert answer.status == 200
+
+    def faults(self, process: rig.Process, **faults: typing.Any) -> None:
+        """Induce faults in the store or a target; those not named end."""
+        assert rig.call("POST", f"{process.url}/control/faults", faults).status == 200
+
+    def runs(self, name: str) -> list[dict[str, str]]:
+        """Return the requests that a target ran."""
+        answer = rig.call("GET", f"{self.targets[name].url}/control/runs")
+        found: list[dict[str, str]] = answer.document["runs"]
+        return found
+
+    def start_front(self, name: str = "front-1", zone: str = "a") -> Front:
+        """Start a front without waiting for it."""
+        front, ready = free_port(), free_port()
+        path = self._directory / f"{name}.toml"
+        path.write_text(
+            SETTINGS.format(
+                name=name, zone=zone, front=front, ready=ready, store=self.store.port
+            )
+        )
+        process = self._processes.start_plain("front", "--settings", str(path))
+        return Front(front, ready, process)
+
+    def add_front(self, name: str = "front-1", zone: str = "a") -> Front:
+        """Start a front and wait until it is ready."""
+        started = self.start_front(name, zone)
+        rig.wait_for(started.ready, "the front is ready")
+        return started
+
+
+def route(name: str, **changes: typing.Any) -> dict[str, typing.Any]:
+    """Return a route of a configuration, idempotent unless changed."""
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "type": "idempotent",
+        "timeout_ms": 2000,
+        "target_latency_ms": 400,
+        "priority": 1,
+        "max_attempts": 2,
+    } | changes
--- a/tests/process/test_metrics.py
+++ b/tests/process/test_metrics.py
@@ -63,7 +63,7 @@
 
 def test_documentation_lists_all_metrics() -> None:
     """Guards against a page for operators that lags behind the metrics."""
-    page = (PACKAGE.parent / "docs" / "operating.md").read_text(encoding="utf-8")
+    page = (PACKAGE.parent / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
     for name, each in metrics.DESCRIPTIONS.items():
         row = f"| `{name}` | {each.kind.value} | {each.unit} | {each.meaning} |"
         assert row in page
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -36,15 +36,13 @@
         time.sleep(POLL_SECONDS)
 
 
-class Process:
-    """One process of the rig.
+class PlainProcess:
+    """A process that prints no port.
 
     Attributes
     ----------
-    url : str
-        Where it listens.
     lines : list of str
-        Its standard output after the first line, complete after `stop`.
+        Its standard output, complete after `stop`.
     """
 
     def __init__(self, arguments: collections.abc.Sequence[str]) -> None:
@@ -53,16 +51,13 @@
             stdout=subprocess.PIPE,
             text=True,
         )
-        assert self._popen.stdout is not None
-        line = self._popen.stdout.readline()
-        if not line:
-            raise RuntimeError(f"{arguments} ended with {self._popen.wait()}")
-        self.first_line: dict[str, typing.Any] = json.loads(line)
-        self.port = int(self.first_line["port"])
         self.lines: list[str] = []
         self._reader = threading.Thread(target=self._read, daemon=True)
+        self._begin()
         self._reader.start()
-        self.url = f"http://127.0.0.1:{self.port}"
+
+    def _begin(self) -> None:
+        """Do nothing: its output is read as it comes."""
 
     def _read(self) -> None:
         assert self._popen.stdout is not None
@@ -87,11 +82,32 @@
             self._popen.stdout.close()
 
 
+class Process(PlainProcess):
+    """A process that prints its port as JSON on its first line.
+
+    Attributes
+    ----------
+    url : str
+        Where it listens.
+    lines : list of str
+        Its standard output after the first line, complete after `stop`.
+    """
+
+    def _begin(self) -> None:
+        assert self._popen.stdout is not None
+        line = self._popen.stdout.readline()
+        if not line:
+            raise RuntimeError(f"{self._popen.args!r} ended with {self._popen.wait()}")
+        self.first_line: dict[str, typing.Any] = json.loads(line)
+        self.port = int(self.first_line["port"])
+        self.url = f"http://127.0.0.1:{self.port}"
+
+
 class Rig:
     """A platform stand-in, targets and entry instances."""
 
     def __init__(self) -> None:
-        self._processes: list[Process] = []
+        self._processes: list[PlainProcess] = []
         self._clusters: list[fleet.Cluster] = []
         self.platform = self.start("stand-in", "platform")
         self.targets: dict[str, Process] = {}
@@ -102,6 +118,12 @@
         self._processes.append(process)
         return process
 
+    def start_plain(self, *arguments: str) -> PlainProcess:
+        """Start a process that prints no port."""
+        process = PlainProcess(arguments)
+        self._processes.append(process)
+        return process
+
     def close(self) -> None:
         """Kill all processes."""
         for each in self._clusters:
