Let a few instances of each zone ask the targets for all

Cause: with many instances each asks each target rarely, connections are cold and nothing is learned; every instance also pays for following the store. Change: instances register in the store; the largest of a zone, one in twelve and at least two, are aggregators.

--- a/jackdawpass/platform/adapter.py
+++ b/jackdawpass/platform/adapter.py
@@ -9,13 +9,6 @@
 from jackdawpass.process.serving import gateway, settings
 
 
-class _Refused:
-    """A request that was refused as malformed."""
-
-    def caller_gone(self) -> None:
-        """Do nothing."""
-
-
 class PlatformAdapter:
     """Dialects of callers, targets and the store."""
 
@@ -43,19 +36,18 @@
         """Use the store at another address from now on."""
         self._store.move(address.host, address.port)
 
-    def serve(
-        self,
-        request: ingress.IncomingRequest,
-        served_by: gateway.Gateway,
-        on_answer: ingress.OnAnswer,
-    ) -> ingress.Exchange:
-        """Serve a caller's request."""
-        decoded = callers.decode_request(request)
-        if isinstance(decoded, result.Failure):
-            on_answer(ingress.OutgoingAnswer(decoded.failure(), (), b""))
-            return _Refused()
-
-        def on_outcome(outcome: gateway.Outcome) -> None:
-            on_answer(callers.encode_outcome(outcome))
-
-        return served_by.serve(decoded.unwrap(), on_outcome)
+    def decode_request(
+        self, request: ingress.IncomingRequest
+    ) -> result.Result[gateway.CallerRequest, int]:
+        """Return the product's form of a request, or the status that refuses it."""
+        return callers.decode_request(request)
+
+    def encode_outcome(self, outcome: gateway.Outcome) -> ingress.OutgoingAnswer:
+        """Return the answer to a caller."""
+        return callers.encode_outcome(outcome)
+
+    def encode_hand_over(
+        self, request: gateway.CallerRequest, patience: float, extra: ingress.Headers
+    ) -> bytes:
+        """Return the request as another instance takes it from a caller."""
+        return callers.encode_hand_over(request, patience, extra)
--- a/jackdawpass/platform/callers.py
+++ b/jackdawpass/platform/callers.py
@@ -4,7 +4,7 @@
 
 from jackdawpass.connection import ingress
 from jackdawpass.platform import headers
-from jackdawpass.process.serving import gateway
+from jackdawpass.process.serving import gateway, peer_wire
 from jackdawpass.request import model, problems, records
 
 # Headers of a request that are this instance's to set.
@@ -14,6 +14,7 @@
     b"expect",
     headers.PATIENCE_MS,
     headers.ONLY_TARGET,
+    *peer_wire.HEADERS,
 }
 # Wait assumed of a caller that names none.
 _DEFAULT_PATIENCE_SECONDS = 60.0
@@ -43,6 +44,19 @@
     )
 
 
+def encode_hand_over(
+    request: gateway.CallerRequest, patience: float, extra: ingress.Headers
+) -> bytes:
+    """Return the request as another instance takes it from a caller."""
+    line_end = request.forward.index(b"\r\n") + 2
+    fields = (
+        (headers.PATIENCE_MS, b"%d" % max(1, round(patience * 1000))),
+        *extra,
+    )
+    own = b"".join(b"%s: %s\r\n" % field for field in fields)
+    return request.forward[:line_end] + own + request.forward[line_end:]
+
+
 def encode_outcome(outcome: gateway.Outcome) -> ingress.OutgoingAnswer:
     """Return the answer to a caller."""
     if isinstance(outcome, problems.Problem):
--- a/jackdawpass/platform/decoding.py
+++ b/jackdawpass/platform/decoding.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from jackdawpass.process import logs
-from jackdawpass.process.serving import targets
+from jackdawpass.process.serving import census, roster, targets
 from jackdawpass.version import routes
 
 _logger = logs.get_logger(__name__)
@@ -14,7 +14,6 @@
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 TARGETS_KIND = "servers"
-INSTANCES_KIND = "jackdawpass-instances"
 
 Decoder = collections.abc.Callable[[str, msgspec.Raw], typing.Any]
 
@@ -84,6 +83,15 @@
     born: int = 0
 
 
+class _Instance(msgspec.Struct):
+    """What `jackdawpass.process.serving.census` registers."""
+
+    zone: str
+    host: str
+    port: int
+    capacity: float
+
+
 def decode_configuration(name: str, content: msgspec.Raw) -> typing.Any:
     """Return the routing table, or None for what is not one."""
     if name != CONFIGURATION_NAME:
@@ -130,15 +138,20 @@
         return None
 
 
-def decode_instance(name: str, content: msgspec.Raw) -> str:
-    """Return the name of an instance."""
-    return name
+def decode_instance(name: str, content: msgspec.Raw) -> roster.Member | None:
+    """Return an instance as it registered itself, or None for anything else."""
+    try:
+        own = msgspec.json.decode(content, type=_Instance)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        _logger.error("instance_entry_unreadable", instance=name, reason=str(error))
+        return None
+    return roster.Member(name, own.zone, own.host, own.port, own.capacity)
 
 
 DECODERS: collections.abc.Mapping[str, Decoder] = {
     CONFIGURATION_KIND: decode_configuration,
     TARGETS_KIND: decode_target,
-    INSTANCES_KIND: decode_instance,
+    census.KIND: decode_instance,
 }
 
 
--- a/jackdawpass/platform/node_file.py
+++ b/jackdawpass/platform/node_file.py
@@ -31,12 +31,23 @@
     return settings.Address.parse(_text(value))
 
 
+def _first_port(value: typing.Any) -> int:
+    if not isinstance(value, list) or not value or not isinstance(value[0], int):
+        raise ValueError(f"{value!r} is no range of ports")
+    return value[0]
+
+
 _CONVERTERS: dict[str, Converter] = {
     "node": _text,
     "zone": _text,
     "listen.front": _address,
     "listen.readiness_address": _address,
     "platform.address": _address,
+    "ip": _text,
+    "internal_port_range": _first_port,
+    "limits.cpu_share": _number,
+    "limits.cores": _number,
+    "limits.link_mbps": _number,
     "bounds.grace_s": _number,
     "bounds.retry_budget_ratio": _number,
     "bounds.retry_window_s": _number,
@@ -71,6 +82,10 @@
             callers=values["listen.front"],
             readiness=values["listen.readiness_address"],
             store=values["platform.address"],
+            peers=settings.Address(values["ip"], values["internal_port_range"]),
+            capacity=values["limits.cpu_share"]
+            * values["limits.cores"]
+            * values["limits.link_mbps"],
             stop_seconds=values["bounds.grace_s"],
             repeats=repeats.RepeatLimits(
                 ratio=values["bounds.retry_budget_ratio"],
--- a/jackdawpass/process/serving/census.py
+++ b/jackdawpass/process/serving/census.py
@@ -1,4 +1,4 @@
-"""How many instances share the targets, from what they leave in the store."""
+"""Which instances there are, from what they leave in the store."""
 
 import collections.abc
 import typing
@@ -7,16 +7,16 @@
 from twisted.internet import defer, task
 
 from jackdawpass.process import logs
-from jackdawpass.process.serving import mirror
+from jackdawpass.process.serving import mirror, roster
 
 _logger = logs.get_logger(__name__)
 
 KIND = "jackdawpass-instances"
-# All instances start within 0.3 s and have registered when they are first counted.
-FIRST_COUNT_SECONDS = 3.0
-# Instances are added rarely, and a count that is a little old errs by a few.
+# All instances start within 0.3 s and have registered by then.
+FIRST_COUNT_SECONDS = 1.5
+# Instances are added rarely, and an older count errs by a few.
 COUNT_SECONDS = 15.0
-RETRY_SECONDS = 1.0
+RETRY_SECONDS = 0.5
 
 
 class Store(mirror.Store, typing.Protocol):
@@ -39,33 +39,43 @@
         """Close the connections."""
 
 
+OnMembers = collections.abc.Callable[[tuple[roster.Member, ...]], None]
+
+
 class Census:
-    """Registers this instance once and counts the others.
+    """Registers this instance once and lists the others.
 
-    An instance that is gone stays counted; too high a count only makes the others more
-    modest.
+    An instance that is gone stays listed; too high a count only makes the others more
+    modest, and an aggregator that is gone is noticed by those who ask it.
 
     Parameters
     ----------
-    on_count : callable
-        Called with each new count.
+    me : Member
+        This instance.
+    on_members : callable
+        Called with each new list.
     """
 
     def __init__(
         self,
         reactor: typing.Any,
         store: Store,
-        instance: str,
-        on_count: collections.abc.Callable[[int], None],
+        me: roster.Member,
+        on_members: OnMembers,
     ) -> None:
         self._reactor = reactor
         self._store = store
-        self._instance = instance
-        self._on_count = on_count
-        self._count = 0
+        self._me = me
+        self._on_members = on_members
+        self._members: tuple[roster.Member, ...] = ()
+
+    @property
+    def members(self) -> tuple[roster.Member, ...]:
+        """Instances as last listed; empty before the first list."""
+        return self._members
 
     def start(self) -> None:
-        """Register, then count again and again."""
+        """Register, then list again and again."""
         self._follow().addErrback(self._crashed)
 
     @defer.inlineCallbacks
@@ -73,24 +83,32 @@
         self,
     ) -> typing.Generator[defer.Deferred[typing.Any], typing.Any, None]:
         while True:
-            created = yield self._store.create(KIND, self._instance, {})
+            created = yield self._store.create(KIND, self._me.name, _content(self._me))
             if isinstance(created, result.Success):
                 break
             yield self._wait(RETRY_SECONDS)
-        yield self._wait(FIRST_COUNT_SECONDS)
+        if created.unwrap():
+            # Others that start now register at the same time.
+            yield self._wait(FIRST_COUNT_SECONDS)
+        stale = False
         while True:
-            listed = yield self._store.list(KIND, stale=True)
-            self._take(listed)
-            yield self._wait(COUNT_SECONDS)
+            listed = yield self._store.list(KIND, stale=stale)
+            stale = self._take(listed)
+            yield self._wait(COUNT_SECONDS if stale else RETRY_SECONDS)
 
-    def _take(self, listed: mirror.ListResult) -> None:
+    def _take(self, listed: mirror.ListResult) -> bool:
         if not isinstance(listed, result.Success):
-            return
-        count = len(listed.unwrap().items)
-        if count and count != self._count:
-            self._count = count
-            _logger.info("instances_counted", instances=count)
-            self._on_count(count)
+            return False
+        members = tuple(
+            item.content
+            for item in listed.unwrap().items
+            if isinstance(item.content, roster.Member)
+        )
+        if members and members != self._members:
+            self._members = members
+            _logger.info("instances_listed", instances=len(members))
+            self._on_members(members)
+        return bool(members)
 
     def _wait(self, seconds: float) -> defer.Deferred[None]:
         return task.deferLater(self._reactor, seconds, lambda: None)
@@ -98,3 +116,12 @@
     def _crashed(self, reason: typing.Any) -> None:
         _logger.error("census_failed", reason=str(reason.value))
         self._reactor.callLater(RETRY_SECONDS, self.start)
+
+
+def _content(me: roster.Member) -> dict[str, object]:
+    return {
+        "zone": me.zone,
+        "host": me.host,
+        "port": me.port,
+        "capacity": me.capacity,
+    }
--- /dev/null
+++ b/jackdawpass/process/serving/desk.py
@@ -0,0 +1,275 @@
+"""Where requests arrive: from callers, and from the instances that hand them over."""
+
+import collections.abc
+import typing
+
+from returns import result
+
+from jackdawpass.connection import ingress
+from jackdawpass.process.serving import delegation, gateway, peer_wire
+from jackdawpass.version import routes
+
+# An instance that has to ask targets itself lists them first; a caller waits so long
+# for that, in steps.
+WAIT_SECONDS = 0.3
+WAIT_STEP_SECONDS = 0.02
+# Instances that hand requests over know no configuration; they keep idle connections at
+# least as long as operators allow callers to use them.
+IDLE_SECONDS = 60.0
+
+
+class CallerDialect(typing.Protocol):
+    """Translates requests and answers of callers."""
+
+    def decode_request(
+        self, request: ingress.IncomingRequest
+    ) -> result.Result[gateway.CallerRequest, int]:
+        """Return the product's form of a request, or the status that refuses it."""
+
+    def encode_outcome(self, outcome: gateway.Outcome) -> ingress.OutgoingAnswer:
+        """Return the answer to a caller."""
+
+    def encode_hand_over(
+        self, request: gateway.CallerRequest, patience: float, extra: ingress.Headers
+    ) -> bytes:
+        """Return the request as another instance takes it from a caller."""
+
+
+class Part(typing.Protocol):
+    """What this instance is and can do at the moment."""
+
+    @property
+    def asks_targets(self) -> bool:
+        """True when requests of callers are served without an aggregator."""
+
+    @property
+    def own_ready(self) -> bool:
+        """True when configuration and targets are known."""
+
+    @property
+    def ready(self) -> bool:
+        """True when the balancer may send new callers."""
+
+    @property
+    def stopping(self) -> bool:
+        """True once a planned stop has begun."""
+
+    @property
+    def isolated(self) -> bool:
+        """True while cut off from the other zones."""
+
+    def need_targets(self) -> None:
+        """Follow configuration and targets for a while."""
+
+
+class _Ended:
+    """A request that ended at once."""
+
+    def caller_gone(self) -> None:
+        """Do nothing."""
+
+
+class _Waiting:
+    """A request that waits until this instance knows the targets."""
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        is_ready: collections.abc.Callable[[], bool],
+        serve: collections.abc.Callable[[], ingress.Exchange],
+    ) -> None:
+        self._reactor = reactor
+        self._is_ready = is_ready
+        self._serve = serve
+        self._steps = round(WAIT_SECONDS / WAIT_STEP_SECONDS)
+        self._gone = False
+        self._own: ingress.Exchange | None = None
+        self._step()
+
+    def caller_gone(self) -> None:
+        """Give the request up."""
+        self._gone = True
+        if self._own is not None:
+            self._own.caller_gone()
+
+    def _step(self) -> None:
+        if self._gone:
+            return
+        if self._steps and not self._is_ready():
+            self._steps -= 1
+            self._reactor.callLater(WAIT_STEP_SECONDS, self._step)
+        else:
+            self._own = self._serve()
+
+
+class CallerDesk:
+    """Takes callers' requests.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Sets timers.
+    wire : CallerDialect
+        Dialect of callers.
+    served_by : Gateway
+        Asks the targets.
+    handed_by : Delegation
+        Hands requests to aggregators.
+    part : Part
+        State of this instance.
+    """
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        wire: CallerDialect,
+        served_by: gateway.Gateway,
+        handed_by: delegation.Delegation,
+        part: Part,
+    ) -> None:
+        self._reactor = reactor
+        self._wire = wire
+        self._gateway = served_by
+        self._delegation = handed_by
+        self._part = part
+        self.connections: set[ingress.CallerConnection] = set()
+
+    @property
+    def caller_limits(self) -> routes.CallerLimits:
+        """Limits in force for callers."""
+        table = self._gateway.table
+        if table is None:
+            return routes.CallerLimits(idle_timeout=IDLE_SECONDS)
+        return table.limits
+
+    @property
+    def closing(self) -> bool:
+        """True when connections close after their next answer."""
+        return self._part.stopping or not self._part.ready
+
+    def on_open(self, connection: ingress.CallerConnection) -> None:
+        """Note a new connection."""
+        self.connections.add(connection)
+
+    def on_closed(self, connection: ingress.CallerConnection) -> None:
+        """Forget a connection."""
+        self.connections.discard(connection)
+
+    def handle(
+        self, request: ingress.IncomingRequest, on_answer: ingress.OnAnswer
+    ) -> ingress.Exchange:
+        """Serve a caller's request."""
+        decoded = self._wire.decode_request(request)
+        if isinstance(decoded, result.Failure):
+            on_answer(ingress.OutgoingAnswer(decoded.failure(), (), b""))
+            return _Ended()
+        known = decoded.unwrap()
+        if self._part.asks_targets:
+            return self._serve(known, on_answer)
+        return self._delegation.hand_over(
+            lambda patience, version: self._wire.encode_hand_over(
+                known, patience, ((peer_wire.VERSION, b"%d" % version),)
+            ),
+            known.patience,
+            on_answer,
+            lambda: self._serve_alone(known, on_answer),
+        )
+
+    def _serve(
+        self, request: gateway.CallerRequest, on_answer: ingress.OnAnswer
+    ) -> ingress.Exchange:
+        def on_outcome(outcome: gateway.Outcome) -> None:
+            on_answer(self._wire.encode_outcome(outcome))
+
+        return self._gateway.serve(request, on_outcome)
+
+    def _serve_alone(
+        self, request: gateway.CallerRequest, on_answer: ingress.OnAnswer
+    ) -> ingress.Exchange:
+        """Serve a request that no aggregator takes."""
+        self._part.need_targets()
+
+        def serve() -> ingress.Exchange:
+            table = self._gateway.table
+            version = 0 if table is None else table.version
+            if not self._part.own_ready or version < self._delegation.version:
+                on_answer(self._wire.encode_outcome(gateway.NO_CONFIGURATION))
+                return _Ended()
+            self._delegation.on_version(version)
+            return self._serve(request, on_answer)
+
+        return _Waiting(self._reactor, lambda: self._part.own_ready, serve)
+
+
+class PeerDesk:
+    """Takes the requests that other instances of the zone hand over."""
+
+    def __init__(
+        self, wire: CallerDialect, served_by: gateway.Gateway, part: Part
+    ) -> None:
+        self._wire = wire
+        self._gateway = served_by
+        self._part = part
+
+    @property
+    def caller_limits(self) -> routes.CallerLimits:
+        """Limits in force for callers, with connections kept for long."""
+        table = self._gateway.table
+        limits = routes.CallerLimits() if table is None else table.limits
+        return routes.CallerLimits(
+            2 * limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout,
+            IDLE_SECONDS,
+        )
+
+    @property
+    def closing(self) -> bool:
+        """Return False: an instance that stops says so in its report."""
+        return False
+
+    @property
+    def report(self) -> peer_wire.Report:
+        """What this instance says of itself."""
+        table = self._gateway.table
+        version = 0 if table is None else table.version
+        state = peer_wire.State.READY
+        if self._part.stopping or not self._part.own_ready:
+            state = peer_wire.State.UNREADY
+        elif self._part.isolated:
+            state = peer_wire.State.ISOLATED
+        return peer_wire.Report(state, version)
+
+    def on_open(self, connection: ingress.CallerConnection) -> None:
+        """Do nothing."""
+
+    def on_closed(self, connection: ingress.CallerConnection) -> None:
+        """Do nothing."""
+
+    def handle(
+        self, request: ingress.IncomingRequest, on_answer: ingress.OnAnswer
+    ) -> ingress.Exchange:
+        """Answer a ping, or serve a request that was handed over."""
+        self._part.need_targets()
+        if request.target == peer_wire.PING_PATH:
+            on_answer(self._with_report(ingress.OutgoingAnswer(200, (), b"")))
+            return _Ended()
+        decoded = self._wire.decode_request(request)
+        if isinstance(decoded, result.Failure) or not self._takes(request):
+            refused = ingress.OutgoingAnswer(503, ((peer_wire.NOT_TAKEN, b"1"),), b"")
+            on_answer(self._with_report(refused))
+            return _Ended()
+
+        def on_outcome(outcome: gateway.Outcome) -> None:
+            on_answer(self._with_report(self._wire.encode_outcome(outcome)))
+
+        return self._gateway.serve(decoded.unwrap(), on_outcome)
+
+    def _takes(self, request: ingress.IncomingRequest) -> bool:
+        """Return whether no newer version was already seen by who hands it over."""
+        seen = request.header(peer_wire.VERSION) or b"0"
+        return self._part.own_ready and self.report.version >= int(seen)
+
+    def _with_report(self, answer: ingress.OutgoingAnswer) -> ingress.OutgoingAnswer:
+        headers = answer.headers + peer_wire.encode_report(self.report)
+        return ingress.OutgoingAnswer(answer.status, headers, answer.body)
--- a/jackdawpass/process/serving/front.py
+++ b/jackdawpass/process/serving/front.py
@@ -1,6 +1,5 @@
 """One instance that serves routes: wires the parts that live for the process."""
 
-import collections.abc
 import random
 import typing
 
@@ -11,14 +10,16 @@
 from jackdawpass.process import logs
 from jackdawpass.process.serving import (
     census,
+    delegation,
+    desk,
     gateway,
     meters,
-    mirror,
     pages,
-    pulse,
+    roster,
     settings,
     shutdown,
     targets,
+    view,
 )
 from jackdawpass.version import routes
 
@@ -26,22 +27,16 @@
 
 # Connections that wait to be accepted; a full queue delays new callers by seconds.
 LISTEN_BACKLOG = 512
+# How long targets are followed after they were last needed.
+KEEP_SECONDS = 8.0
+# Parts of what all instances may ask of targets together: for those that ask for
+# others, and for those that ask only while no aggregator can be reached.
+AGGREGATORS_PART = 0.75
+OTHERS_PART = 0.2
 
 
-class Adapter(typing.Protocol):
-    """What the front needs of the platform's dialects."""
-
-    @property
-    def configuration_kind(self) -> str:
-        """Kind of the store's objects that hold routing tables."""
-
-    @property
-    def targets_kind(self) -> str:
-        """Kind of the store's objects that list targets."""
-
-    @property
-    def store(self) -> census.Store:
-        """The platform's store."""
+class Adapter(view.Source, desk.CallerDialect, typing.Protocol):
+    """Dialects of the platform."""
 
     @property
     def wire(self) -> typing.Any:
@@ -50,14 +45,6 @@
     def move_store(self, address: settings.Address) -> None:
         """Use the store at another address from now on."""
 
-    def serve(
-        self,
-        request: ingress.IncomingRequest,
-        served_by: gateway.Gateway,
-        on_answer: ingress.OnAnswer,
-    ) -> ingress.Exchange:
-        """Serve a caller's request."""
-
 
 class Front:
     """One instance.
@@ -84,6 +71,7 @@
         self._reactor = reactor
         self._options = options
         self._adapter = adapter
+        self._random = generator
         self._meters = meters.Meters()
         self._gateway = gateway.Gateway(
             reactor,
@@ -94,57 +82,57 @@
             self._on_doubt,
             self._meters,
         )
-        self._isolated = False
-        self._pulse = pulse.Pulse(
-            reactor, adapter.store, options.instance, self._on_store_back, generator
-        )
-        self._tables = mirror.Mirror(
-            reactor,
-            adapter.store,
-            self._pulse,
-            adapter.configuration_kind,
-            self._on_tables,
-            generator,
-        )
-        self._listed = mirror.Mirror(
-            reactor,
-            adapter.store,
-            self._pulse,
-            adapter.targets_kind,
-            self._on_targets,
-            generator,
+        self._delegation = delegation.Delegation(reactor, generator)
+        self._callers = desk.CallerDesk(
+            reactor, adapter, self._gateway, self._delegation, self
         )
+        self._peers = desk.PeerDesk(adapter, self._gateway, self)
         self._census = census.Census(
-            reactor, adapter.store, options.instance, self._gateway.apply_instances
+            reactor, adapter.store, self._me(), self._on_members
         )
-        self._connections: set[ingress.CallerConnection] = set()
+        self._view: view.View | None = None
+        self._needed_at = clock.monotonic()
+        self._asks_targets = False
+        self._isolated = False
         self._shutdown = shutdown.Shutdown(options.stop_seconds)
-        self._port: typing.Any = None
+        self._ports: list[typing.Any] = []
         self._stopped: defer.Deferred[None] = defer.Deferred()
         self._ticker = task.LoopingCall(self._tick)
         self._ticked_at = clock.monotonic()
         self._loop_delay = 0.0
 
     @property
-    def ready(self) -> bool:
-        """True when the balancer may send new callers."""
+    def asks_targets(self) -> bool:
+        """True when requests of callers are served without an aggregator."""
+        return self._asks_targets
+
+    @property
+    def own_ready(self) -> bool:
+        """True when configuration and targets are known."""
         return (
-            self._gateway.table is not None
-            and self._listed.listed
-            and not self._shutdown.begun
-            and not self._isolated
+            self._view is not None
+            and self._view.complete
+            and self._gateway.table is not None
         )
 
     @property
-    def caller_limits(self) -> routes.CallerLimits:
-        """Limits in force for callers."""
-        table = self._gateway.table
-        return routes.CallerLimits() if table is None else table.limits
+    def ready(self) -> bool:
+        """True when the balancer may send new callers."""
+        if self._shutdown.begun:
+            return False
+        if not self._asks_targets and self._delegation.ready:
+            return True
+        return self.own_ready and not self._isolated
 
     @property
-    def closing(self) -> bool:
-        """True when connections close after their next answer."""
-        return self._shutdown.begun or self._isolated
+    def stopping(self) -> bool:
+        """True once a planned stop has begun."""
+        return self._shutdown.begun
+
+    @property
+    def isolated(self) -> bool:
+        """True while cut off from the other zones."""
+        return self._isolated
 
     @property
     def stopped(self) -> defer.Deferred[None]:
@@ -152,18 +140,13 @@
         return self._stopped
 
     def start(self) -> None:
-        """Listen, and begin to follow the configuration and the targets."""
+        """Listen, register, and begin to follow what this instance needs."""
         options = self._options
-        factory = ingress.CallerFactory(self._reactor, self)
-        self._port = self._reactor.listenTCP(
-            options.callers.port, factory, LISTEN_BACKLOG, options.callers.host
-        )
-        pages.listen(self._reactor, options.readiness, self._readiness_page)
+        self._listen(options.callers, self._callers)
+        self._listen(options.peers, self._peers)
+        self._listen(options.readiness, pages.Pages(self._readiness_page))
         if options.metrics_port:
             self._listen_for_metrics()
-        self._pulse.start()
-        self._tables.start()
-        self._listed.start()
         self._census.start()
         self._ticker.start(shutdown.CHECK_SECONDS, now=False)
         _logger.info("started", callers=str(options.callers))
@@ -173,21 +156,21 @@
         if self._shutdown.begun:
             return
         self._shutdown.begin(clock.monotonic())
-        _logger.info("stopping", connections=len(self._connections))
-
-    def handle(
-        self, request: ingress.IncomingRequest, on_answer: ingress.OnAnswer
-    ) -> ingress.Exchange:
-        """Serve a caller's request."""
-        return self._adapter.serve(request, self._gateway, on_answer)
-
-    def on_open(self, connection: ingress.CallerConnection) -> None:
-        """Note a new connection."""
-        self._connections.add(connection)
-
-    def on_closed(self, connection: ingress.CallerConnection) -> None:
-        """Forget a connection."""
-        self._connections.discard(connection)
+        _logger.info("stopping", connections=len(self._callers.connections))
+
+    def need_targets(self) -> None:
+        """Follow configuration and targets for a while."""
+        self._needed_at = clock.monotonic()
+        if self._view is None:
+            self._view = view.View(
+                self._reactor,
+                self._adapter,
+                self._options.instance,
+                self,
+                self._random,
+            )
+            self._view.start()
+            _logger.info("targets_followed", asks_targets=self._asks_targets)
 
     def reload(self, options: settings.FrontSettings) -> None:
         """Take over changed settings; addresses of its own hold until a restart."""
@@ -196,31 +179,73 @@
         self._shutdown.change_limit(options.stop_seconds)
         if options.store != before.store:
             self._adapter.move_store(options.store)
-            self._on_store_back()
+            if self._view is not None:
+                self._view.refresh()
         _logger.info("reloaded", store=str(options.store))
 
-    def _readiness_page(self) -> ingress.OutgoingAnswer:
-        return ingress.OutgoingAnswer(200 if self.ready else 503, (), b"")
+    def on_tables(self, items: view.Items) -> None:
+        """Put a later routing table in force."""
+        for table in items.values():
+            if isinstance(table, routes.RoutingTable):
+                self._put_in_force(table)
 
-    def _metrics_page(self) -> ingress.OutgoingAnswer:
-        now = clock.monotonic()
-        self._gateway.measure(now)
-        self._meters.set("store_away", self._pulse.away)
-        self._meters.set("isolated", self._isolated)
-        self._meters.set("caller_connections", len(self._connections))
-        self._meters.set("loop_delay_seconds", self._loop_delay)
-        kind = ((b"Content-Type", b"text/plain; version=0.0.4"),)
-        return ingress.OutgoingAnswer(200, kind, self._meters.page())
+    def on_targets(self, items: view.Items) -> None:
+        """Take over the list of targets."""
+        listed = {
+            name: target
+            for name, target in items.items()
+            if isinstance(target, targets.ListedTarget)
+        }
+        leaving = sum(target.leaving for target in listed.values())
+        _logger.info("targets_listed", targets=len(listed), leaving=leaving)
+        self._gateway.apply_targets(clock.monotonic(), listed)
 
-    def _listen_for_metrics(self) -> None:
-        address = settings.Address(
-            self._options.callers.host, self._options.metrics_port
+    def on_store_back(self) -> None:
+        """Note that the way out of the zone is open."""
+        self._gateway.on_store_back()
+
+    def _me(self) -> roster.Member:
+        options = self._options
+        return roster.Member(
+            options.instance,
+            options.zone,
+            options.peers.host,
+            options.peers.port,
+            options.capacity,
+        )
+
+    def _on_members(self, members: tuple[roster.Member, ...]) -> None:
+        chosen = roster.aggregators(members, self._options.zone)
+        me = self._options.instance
+        self._asks_targets = not chosen or any(each.name == me for each in chosen)
+        others = () if self._asks_targets else chosen
+        self._delegation.apply(others)
+        askers = roster.askers(members)
+        if askers == len(members):
+            self._gateway.apply_share(askers)
+        elif self._asks_targets:
+            self._gateway.apply_share(askers / AGGREGATORS_PART)
+        else:
+            self._gateway.apply_share(len(members) / OTHERS_PART)
+        _logger.info(
+            "part_chosen",
+            asks_targets=self._asks_targets,
+            aggregators=[each.name for each in chosen],
+            instances=len(members),
         )
-        try:
-            pages.listen(self._reactor, address, self._metrics_page)
-        except error.CannotListenError as failure:
-            # Callers are served all the same.
-            _logger.error("metrics_unavailable", reason=str(failure.socketError))
+
+    def _put_in_force(self, table: routes.RoutingTable) -> None:
+        before = self._gateway.table
+        self._gateway.apply_table(table)
+        if self._gateway.table is not before:
+            log = logs.current()
+            if log is not None:
+                log.configuration_version = table.version
+            _logger.info("version_in_force", version=table.version)
+
+    def _on_doubt(self) -> None:
+        if self._view is not None:
+            self._view.doubt()
 
     def _tick(self) -> None:
         now = clock.monotonic()
@@ -229,9 +254,32 @@
         log = logs.current()
         if log is not None:
             log.tick(now)
+        self._review_need(now)
         self._review_reach(now)
-        idle = [each for each in self._connections if each.idle]
-        step = self._shutdown.next_step(now, len(self._connections) - len(idle))
+        self._review_stop(now)
+
+    def _review_need(self, now: float) -> None:
+        if self._asks_targets:
+            self.need_targets()
+        elif self._census.members and not self._delegation.reachable:
+            self.need_targets()
+        elif self._view is not None and now - self._needed_at > KEEP_SECONDS:
+            self._view.stop()
+            self._view = None
+            self._gateway.apply_targets(now, {})
+            _logger.info("targets_no_longer_followed")
+
+    def _review_reach(self, now: float) -> None:
+        away = self._view is not None and self._view.away
+        isolated = self._gateway.review_reach(now, away)
+        if isolated != self._isolated:
+            self._isolated = isolated
+            _logger.info("isolated" if isolated else "reaches_other_zones")
+
+    def _review_stop(self, now: float) -> None:
+        connections = self._callers.connections
+        idle = [each for each in connections if each.idle]
+        step = self._shutdown.next_step(now, len(connections) - len(idle))
         if step is shutdown.Step.CLOSE_IDLE:
             for each in idle:
                 each.close()
@@ -240,49 +288,43 @@
 
     def _exit(self) -> None:
         self._ticker.stop()
-        self._pulse.stop()
-        self._tables.stop()
-        self._listed.stop()
-        _logger.info("stopped", connections=len(self._connections))
-        for each in list(self._connections):
+        if self._view is not None:
+            self._view.stop()
+        connections = self._callers.connections
+        _logger.info("stopped", connections=len(connections))
+        for each in list(connections):
             each.close()
-        self._port.stopListening()
+        for port in self._ports:
+            port.stopListening()
         self._stopped.callback(None)
 
-    def _on_doubt(self) -> None:
-        self._pulse.hurry()
-
-    def _review_reach(self, now: float) -> None:
-        isolated = self._gateway.review_reach(now, self._pulse.away)
-        if isolated != self._isolated:
-            self._isolated = isolated
-            _logger.info("isolated" if isolated else "reaches_other_zones")
-
-    def _on_store_back(self) -> None:
-        self._gateway.on_store_back()
-        self._tables.refresh()
-        self._listed.refresh()
+    def _listen(self, address: settings.Address, handler: ingress.Handler) -> None:
+        factory = ingress.CallerFactory(self._reactor, handler)
+        port = self._reactor.listenTCP(
+            address.port, factory, LISTEN_BACKLOG, address.host
+        )
+        self._ports.append(port)
 
-    def _on_tables(self, items: collections.abc.Mapping[str, typing.Any]) -> None:
-        for table in items.values():
-            if isinstance(table, routes.RoutingTable):
-                self._put_in_force(table)
+    def _listen_for_metrics(self) -> None:
+        address = settings.Address(
+            self._options.callers.host, self._options.metrics_port
+        )
+        try:
+            self._listen(address, pages.Pages(self._metrics_page))
+        except error.CannotListenError as failure:
+            # Callers are served all the same.
+            _logger.error("metrics_unavailable", reason=str(failure.socketError))
 
-    def _put_in_force(self, table: routes.RoutingTable) -> None:
-        before = self._gateway.table
-        self._gateway.apply_table(table)
-        if self._gateway.table is not before:
-            log = logs.current()
-            if log is not None:
-                log.configuration_version = table.version
-            _logger.info("version_in_force", version=table.version)
+    def _readiness_page(self) -> ingress.OutgoingAnswer:
+        return ingress.OutgoingAnswer(200 if self.ready else 503, (), b"")
 
-    def _on_targets(self, items: collections.abc.Mapping[str, typing.Any]) -> None:
-        listed = {
-            name: target
-            for name, target in items.items()
-            if isinstance(target, targets.ListedTarget)
-        }
-        leaving = sum(target.leaving for target in listed.values())
-        _logger.info("targets_listed", targets=len(listed), leaving=leaving)
-        self._gateway.apply_targets(clock.monotonic(), listed)
+    def _metrics_page(self) -> ingress.OutgoingAnswer:
+        self._gateway.measure(clock.monotonic())
+        away = self._view is not None and self._view.away
+        self._meters.set("store_away", away)
+        self._meters.set("isolated", self._isolated)
+        self._meters.set("asks_targets", self._asks_targets)
+        self._meters.set("caller_connections", len(self._callers.connections))
+        self._meters.set("loop_delay_seconds", self._loop_delay)
+        kind = ((b"Content-Type", b"text/plain; version=0.0.4"),)
+        return ingress.OutgoingAnswer(200, kind, self._meters.page())
--- a/jackdawpass/process/serving/gateway.py
+++ b/jackdawpass/process/serving/gateway.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import random
 import typing
 
@@ -125,7 +126,7 @@
         self._timings: dict[str, timing.RouteTiming] = {}
         self._sender = sender.Sender(reactor, wire, self)
         self._table: routes.RoutingTable | None = None
-        self._instances = ASSUMED_INSTANCES
+        self._instances = float(ASSUMED_INSTANCES)
         self._zone = zone
         self._reach = reach.Reach()
         self._on_doubt = on_doubt
@@ -158,10 +159,10 @@
         self._targets.apply(now, listed)
         self._resize()
 
-    def apply_instances(self, count: int) -> None:
-        """Take over the number of instances that share the targets."""
-        self._instances = max(1, count)
-        self._meters.set("instances", count)
+    def apply_share(self, instances: float) -> None:
+        """Take over among how many instances like this one the targets are shared."""
+        self._instances = max(1.0, instances)
+        self._meters.set("instances", instances)
         self._resize()
 
     def measure(self, now: float) -> None:
@@ -192,7 +193,7 @@
         now = clock.monotonic()
         observer = journal.RequestJournal(now, request.request_id)
         if self._table is None:
-            return _refuse(_NO_CONFIGURATION, observer, on_outcome)
+            return _refuse(NO_CONFIGURATION, observer, on_outcome)
         route = self._table.match(request.host, request.path)
         if route is None:
             return _refuse(_NO_ROUTE, observer, on_outcome)
@@ -318,10 +319,12 @@
         group = None if self._table is None else self._table.groups.get(target.group)
         if group is None:
             return 0
-        return shares.connection_share(group.max_connections, self._instances + 1, 0)
+        return shares.connection_share(
+            group.max_connections, math.ceil(self._instances) + 1, 0
+        )
 
 
-_NO_CONFIGURATION = problems.not_run(
+NO_CONFIGURATION = problems.not_run(
     problems.ProblemKind.NO_CONFIGURATION,
     "this instance has no configuration yet; retry",
     RETRY_AFTER_SECONDS,
--- a/jackdawpass/process/serving/mirror.py
+++ b/jackdawpass/process/serving/mirror.py
@@ -20,6 +20,9 @@
 # Changes that come in quick succession are taken together, since each answer costs a
 # call; a change has seconds to be in force.
 GATHER_SECONDS = 0.3
+# The same for objects that change rarely, and at all instances at nearly the same time:
+# callers must not see an older version just after a newer one.
+SETTLED_GATHER_SECONDS = 0.05
 # Pauses between failed calls: the first repeat comes soon, since most failures are a
 # lost connection; the longest one bounds how late the store's return is noticed.
 FIRST_PAUSE_SECONDS = 0.05
@@ -90,7 +93,8 @@
     their writers need time to come back.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, gather: float = GATHER_SECONDS) -> None:
+        self._gather = gather
         self._items: dict[str, typing.Any] = {}
         self._doubtful: set[str] = set()
         self._failures = 0
@@ -121,7 +125,7 @@
     def pause(self) -> float:
         """Return the seconds to wait before the next call."""
         if self._failures == 0:
-            return 0.0 if self._revision is None else GATHER_SECONDS
+            return 0.0 if self._revision is None else self._gather
         return min(MAX_PAUSE_SECONDS, FIRST_PAUSE_SECONDS * 2 ** (self._failures - 1))
 
     def on_listing(self, now: float, listing: Listing) -> None:
@@ -219,6 +223,8 @@
         Called with all objects after each change.
     generator : random.Random
         Spreads the repeats of many instances.
+    gather : float
+        Seconds for which changes are taken together.
     """
 
     def __init__(
@@ -229,6 +235,7 @@
         kind: str,
         on_items: OnItems,
         generator: random.Random,
+        gather: float = GATHER_SECONDS,
     ) -> None:
         self._reactor = reactor
         self._store = store
@@ -237,7 +244,7 @@
         self._call: defer.Deferred[typing.Any] | None = None
         self._on_items = on_items
         self._random = generator
-        self._copy = Copy()
+        self._copy = Copy(gather)
         self._running = True
         self._settling: typing.Any = None
 
@@ -253,6 +260,8 @@
     def stop(self) -> None:
         """Make no further calls."""
         self._running = False
+        if self._call is not None:
+            self._call.cancel()
 
     def refresh(self) -> None:
         """List again: the store was away, and may have lost a call under way."""
--- a/jackdawpass/process/serving/pages.py
+++ b/jackdawpass/process/serving/pages.py
@@ -1,15 +1,10 @@
 """Small pages for the load balancer and for whoever collects metrics."""
 
 import collections.abc
-import typing
 
 from jackdawpass.connection import ingress
-from jackdawpass.process.serving import settings
 from jackdawpass.version import routes
 
-# The balancer and the collector ask one at a time.
-BACKLOG = 16
-
 
 class _Ended:
     """An answered question."""
@@ -55,9 +50,3 @@
 
     def on_closed(self, connection: ingress.CallerConnection) -> None:
         """Do nothing."""
-
-
-def listen(reactor: typing.Any, address: settings.Address, page: Page) -> None:
-    """Serve a page at an address."""
-    factory = ingress.CallerFactory(reactor, Pages(page))
-    reactor.listenTCP(address.port, factory, BACKLOG, address.host)
--- a/jackdawpass/process/serving/repeats.py
+++ b/jackdawpass/process/serving/repeats.py
@@ -56,23 +56,23 @@
         """Note a caller's request for the group."""
         self._requests.add(now)
 
-    def left(self, now: float, instances: int) -> float:
+    def left(self, now: float, instances: float) -> float:
         """Return how many repeats may still be sent now."""
         return self._allowance(now, instances) - self._repeats.count(now)
 
-    def share_left(self, now: float, instances: int) -> float:
+    def share_left(self, now: float, instances: float) -> float:
         """Return the unused part of the allowance, from 0 to 1."""
         allowance = self._allowance(now, instances)
         return max(0.0, self.left(now, instances) / allowance) if allowance else 0.0
 
-    def try_spend(self, now: float, instances: int) -> bool:
+    def try_spend(self, now: float, instances: float) -> bool:
         """Count a repeat if one may be sent; False otherwise."""
         if self.left(now, instances) < 1:
             return False
         self._repeats.add(now)
         return True
 
-    def _allowance(self, now: float, instances: int) -> float:
+    def _allowance(self, now: float, instances: float) -> float:
         earned = self.limits.ratio * self._requests.count(now)
         return USED_SHARE * (earned + self.limits.slack / max(1, instances))
 
@@ -107,7 +107,7 @@
         for budget in self._budgets.values():
             budget.limits = limits
 
-    def least_share_left(self, now: float, instances: int) -> float:
+    def least_share_left(self, now: float, instances: float) -> float:
         """Return the unused part of the poorest group's allowance, from 0 to 1."""
         shares = (each.share_left(now, instances) for each in self._budgets.values())
         return min(shares, default=1.0)
--- /dev/null
+++ b/jackdawpass/process/serving/roster.py
@@ -0,0 +1,67 @@
+"""Which instances of a zone ask the targets for all of them."""
+
+import collections.abc
+import dataclasses
+import math
+
+from jackdawpass.process import rendezvous
+
+# Instances for which one aggregator asks: measured on a calm day, four of 48 keep
+# connections warm and learn quickly of each target.
+INSTANCES_PER_AGGREGATOR = 12
+# Fewer would leave a zone without one while the other restarts.
+MIN_AGGREGATORS = 2
+# A zone with fewer instances gains nothing by an extra hop.
+MIN_INSTANCES = 4
+# Capacities within this factor count as equal, so that rank decides among them.
+CAPACITY_STEP = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """An instance as it registered itself.
+
+    Attributes
+    ----------
+    host, port : str, int
+        Where other instances reach it.
+    capacity : float
+        Grows with processor and link; only ratios have a meaning.
+    """
+
+    name: str
+    zone: str
+    host: str
+    port: int
+    capacity: float
+
+
+def aggregators(
+    members: collections.abc.Iterable[Member], zone: str
+) -> tuple[Member, ...]:
+    """Return the aggregators of a zone, the same ones for each who asks.
+
+    The largest instances come first, and among equals the order is by hash, so that
+    one that joins or leaves moves few duties.
+    """
+    local = {member.name: member for member in members if member.zone == zone}
+    if len(local) < MIN_INSTANCES:
+        return ()
+    count = max(MIN_AGGREGATORS, math.ceil(len(local) / INSTANCES_PER_AGGREGATOR))
+    ranked = rendezvous.ranked(f"aggregate {zone}", local)
+    ranked.sort(key=lambda name: _step(local[name].capacity), reverse=True)
+    return tuple(local[name] for name in ranked[:count])
+
+
+def askers(members: collections.abc.Iterable[Member]) -> int:
+    """Return how many instances ask targets while all is well."""
+    known = list(members)
+    total = 0
+    for zone in {member.zone for member in known}:
+        chosen = aggregators(known, zone)
+        total += len(chosen) or sum(member.zone == zone for member in known)
+    return total
+
+
+def _step(capacity: float) -> int:
+    return round(math.log(max(capacity, 1e-9), CAPACITY_STEP))
--- a/jackdawpass/process/serving/sender.py
+++ b/jackdawpass/process/serving/sender.py
@@ -15,7 +15,7 @@
 LINGER_SECONDS = 0.25
 # A target that is up answers a connect within some 10 ms, other zones included.
 CONNECT_TIMEOUT_SECONDS = 0.25
-MIN_CONNECTIONS = 2
+MIN_CONNECTIONS = 1
 
 _REMOVED = model.AttemptFailure(
     model.FailureKind.CONNECT_FAILED, model.Execution.NOT_SENT
--- a/jackdawpass/process/serving/settings.py
+++ b/jackdawpass/process/serving/settings.py
@@ -34,6 +34,10 @@
     callers, readiness, store : Address
         Where callers are served, where the load balancer asks, and where the
         platform's store is.
+    peers : Address
+        Where other instances hand requests over.
+    capacity : float
+        Processor share times link speed; instances compare it.
     stop_seconds : float
         Time from the signal to stop to the kill.
     repeats : RepeatLimits
@@ -49,6 +53,8 @@
     callers: Address
     readiness: Address
     store: Address
+    peers: Address
+    capacity: float
     stop_seconds: float
     repeats: repeats.RepeatLimits
     metrics_port: int = 9464
--- a/jackdawpass/process/serving/timing.py
+++ b/jackdawpass/process/serving/timing.py
@@ -61,7 +61,7 @@
     """Repeats of one request, paid by the budget of each target's group."""
 
     def __init__(
-        self, budgets: repeats.Budgets, instances: int, group_of: GroupOf
+        self, budgets: repeats.Budgets, instances: float, group_of: GroupOf
     ) -> None:
         self._budgets = budgets
         self._instances = instances
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -14,9 +14,15 @@
 SETTINGS = """
 node = "{name}"
 zone = "{zone}"
+ip = "127.0.0.1"
+internal_port_range = [{peers},{peers}]
 [listen]
 front = "127.0.0.1:{front}"
 readiness_address = "127.0.0.1:{ready}"
+[limits]
+cpu_share = 0.5
+cores = 1
+link_mbps = 100.0
 [bounds]
 grace_s = 6
 retry_budget_ratio = 0.2
@@ -150,7 +156,12 @@
         path = self._directory / f"{name}.toml"
         path.write_text(
             SETTINGS.format(
-                name=name, zone=zone, front=front, ready=ready, store=self.store.port
+                name=name,
+                zone=zone,
+                front=front,
+                ready=ready,
+                peers=free_port(),
+                store=self.store.port,
             )
         )
         process = self._processes.start_plain("front", "--settings", str(path))
--- a/tests/platform/test_node_file.py
+++ b/tests/platform/test_node_file.py
@@ -10,9 +10,15 @@
 node = "front-1"
 zone = "a"
 later = "ignored"
+ip = "10.0.0.1"
+internal_port_range = [7380, 7395]
 [listen]
 front = "10.0.0.1:80"
 readiness_address = "10.0.0.1:81"
+[limits]
+cpu_share = 0.5
+cores = 2
+link_mbps = 100
 [bounds]
 grace_s = 6
 retry_budget_ratio = 0.2
@@ -29,6 +35,8 @@
     assert (got.instance, got.zone) == ("front-1", "a")
     assert got.callers == settings.Address("10.0.0.1", 80)
     assert got.store == settings.Address("10.9.0.1", 8102)
+    assert got.peers == settings.Address("10.0.0.1", 7380)
+    assert got.capacity == 100
     assert got.repeats.slack == 129
     assert got.stop_seconds == 6
 
--- /dev/null
+++ b/tests/process/serving/test_roster.py
@@ -0,0 +1,47 @@
+"""Choice of aggregators."""
+
+import hypothesis
+from hypothesis import strategies
+
+from jackdawpass.process.serving import roster
+
+
+def members(count: int, zone: str = "a") -> list[roster.Member]:
+    return [roster.Member(f"{zone}{n}", zone, "h", n, 1.0) for n in range(count)]
+
+
+def test_small_zone_asks_for_itself() -> None:
+    """Guards against an extra hop that gains nothing."""
+    assert roster.aggregators(members(roster.MIN_INSTANCES - 1), "a") == ()
+
+
+def test_number_grows_with_the_zone() -> None:
+    """Guards against few aggregators for many instances."""
+    assert len(roster.aggregators(members(9), "a")) == roster.MIN_AGGREGATORS
+    assert len(roster.aggregators(members(48), "a")) == 4
+
+
+def test_largest_instances_are_chosen() -> None:
+    """Guards against the smallest machine asking for all."""
+    large = roster.Member("large", "a", "h", 1, 8.0)
+    assert large in roster.aggregators([*members(20), large], "a")
+
+
+@hypothesis.given(strategies.permutations(members(20)))
+def test_order_of_the_list_does_not_matter(listed: list[roster.Member]) -> None:
+    """Guards against instances that choose differently from one list."""
+    assert roster.aggregators(listed, "a") == roster.aggregators(members(20), "a")
+
+
+def test_leaving_instance_moves_one_duty() -> None:
+    """Guards against all duties moving when one instance is replaced."""
+    before = roster.aggregators(members(48), "a")
+    rest = [member for member in members(48) if member != before[0]]
+    after = roster.aggregators(rest, "a")
+    assert len(set(before) & set(after)) == len(before) - 1
+
+
+def test_askers_counts_all_zones() -> None:
+    """Guards against a share of the budget for too few instances."""
+    listed = members(9) + members(7, "b") + members(3, "c")
+    assert roster.askers(listed) == 2 + 2 + 3
