Choose only the largest instances as aggregators

The aggregator on 2.15 cores answered in 47 ms (median, 90 shards), but three of five in each zone had 0.361 of a core, on which a search takes longer than callers wait; the time of the hand-over was not counted either. Change: instances of the largest capacity alone are chosen where there are two of them; the age of a request goes with it, so that a partial answer arrives in time. A hedge leaves at least one retry in the budget.

--- a/jackdawpass/process/serving/desk.py
+++ b/jackdawpass/process/serving/desk.py
@@ -1,6 +1,7 @@
 """Where requests arrive: from callers, and from the instances that hand them over."""
 
 import collections.abc
+import dataclasses
 import typing
 
 from returns import result
@@ -16,6 +17,8 @@
 # Instances that hand requests over know no configuration; they keep idle connections at
 # least as long as operators allow callers to use them.
 IDLE_SECONDS = 60.0
+# Time that the way to an aggregator and back takes on a small machine, in seconds.
+HOP_SECONDS = 0.003
 
 
 class CallerDialect(typing.Protocol):
@@ -168,7 +171,11 @@
             return self._serve(known, on_answer)
         return self._delegation.hand_over(
             lambda patience, version: self._wire.encode_hand_over(
-                known, patience, ((peer_wire.VERSION, b"%d" % version),)
+                known,
+                patience,
+                peer_wire.encode_request(
+                    known.patience - patience + HOP_SECONDS, version
+                ),
             ),
             known.patience,
             on_answer,
@@ -263,12 +270,13 @@
         def on_outcome(outcome: gateway.Outcome) -> None:
             on_answer(self._with_report(self._wire.encode_outcome(outcome)))
 
-        return self._gateway.serve(decoded.unwrap(), on_outcome)
+        known = dataclasses.replace(decoded.unwrap(), age=peer_wire.decode_age(request))
+        return self._gateway.serve(known, on_outcome)
 
     def _takes(self, request: ingress.IncomingRequest) -> bool:
         """Return whether no newer version was already seen by who hands it over."""
-        seen = request.header(peer_wire.VERSION) or b"0"
-        return self._part.own_ready and self.report.version >= int(seen)
+        seen = peer_wire.decode_seen_version(request)
+        return self._part.own_ready and self.report.version >= seen
 
     def _with_report(self, answer: ingress.OutgoingAnswer) -> ingress.OutgoingAnswer:
         headers = answer.headers + peer_wire.encode_report(self.report)
--- a/jackdawpass/process/serving/gateway.py
+++ b/jackdawpass/process/serving/gateway.py
@@ -65,6 +65,8 @@
         Seconds that the caller waits.
     forward : bytes
         The encoded request that targets get.
+    age : float
+        Seconds since the request reached the first instance.
     """
 
     request_id: str
@@ -72,6 +74,7 @@
     path: str
     patience: float
     forward: bytes
+    age: float = 0.0
 
 
 class Running(typing.Protocol):
@@ -294,6 +297,7 @@
     ) -> model.QueryPlan:
         wait = min(request.patience, route.timeout)
         assert self._table is not None
+        early = timing.answer_by(now, request.age, route) if route.shards else None
         return model.QueryPlan(
             request_id=request.request_id,
             service=route.name,
@@ -302,7 +306,7 @@
             deadline=now + max(MIN_DEADLINE_SECONDS, wait - ANSWER_SECONDS),
             limit=route.limit,
             min_coverage=route.min_coverage,
-            early_after=timing.answer_by(now, route) if route.shards else None,
+            early_after=early,
             early_coverage=route.min_coverage,
             max_attempts=route.max_attempts,
             hedge_unsent=True,
--- a/jackdawpass/process/serving/repeats.py
+++ b/jackdawpass/process/serving/repeats.py
@@ -65,6 +65,11 @@
         allowance = self._allowance(now, instances)
         return max(0.0, self.left(now, instances) / allowance) if allowance else 0.0
 
+    def allows_hedge(self, now: float, instances: float) -> bool:
+        """Return whether a hedge leaves enough for retries, one at least."""
+        kept = max(1.0, RETRY_RESERVE_SHARE * self._allowance(now, instances))
+        return self.left(now, instances) >= kept + 1
+
     def try_spend(self, now: float, instances: float) -> bool:
         """Count a repeat if one may be sent; False otherwise."""
         if self.left(now, instances) < 1:
--- a/jackdawpass/process/serving/roster.py
+++ b/jackdawpass/process/serving/roster.py
@@ -42,8 +42,9 @@
 ) -> tuple[Member, ...]:
     """Return the aggregators of a zone, the same ones for each who asks.
 
-    The largest instances come first, and among equals the order is by hash, so that
-    one that joins or leaves moves few duties.
+    Only the largest instances are chosen where there are enough of them: a request to
+    many shards would take a small one longer than callers wait. Among equals the order
+    is by hash, so that one that joins or leaves moves few duties.
     """
     local = {member.name: member for member in members if member.zone == zone}
     if len(local) < MIN_INSTANCES:
@@ -51,6 +52,9 @@
     count = max(MIN_AGGREGATORS, math.ceil(len(local) / INSTANCES_PER_AGGREGATOR))
     ranked = rendezvous.ranked(f"aggregate {zone}", local)
     ranked.sort(key=lambda name: _step(local[name].capacity), reverse=True)
+    top = _step(local[ranked[0]].capacity)
+    largest = sum(_step(member.capacity) == top for member in local.values())
+    count = min(count, max(MIN_AGGREGATORS, largest))
     return tuple(local[name] for name in ranked[:count])
 
 
--- a/jackdawpass/process/serving/timing.py
+++ b/jackdawpass/process/serving/timing.py
@@ -49,9 +49,13 @@
         return max(MIN_HEDGE_SECONDS, min(latest, tracked))
 
 
-def answer_by(now: float, route: routes.Route) -> float:
-    """Return when a partial answer is worth more than a complete but late one."""
-    return now + max(route.objective - CROSSING_SECONDS, route.objective / 2)
+def answer_by(now: float, age: float, route: routes.Route) -> float:
+    """Return when a partial answer is worth more than a complete but late one.
+
+    `age` is the time, in seconds, that the request has spent on its way to here.
+    """
+    left = route.objective - CROSSING_SECONDS - age
+    return now + max(left, route.objective / 2)
 
 
 GroupOf = collections.abc.Callable[[str], str]
@@ -80,11 +84,10 @@
         budget = self._budgets.group(self._group_of(target))
         return budget.share_left(now, self._instances) < 0.5
 
-    def spent(self, now: float, target: str) -> bool:
-        """Return whether what is left has to be kept for retries."""
+    def allows_hedge(self, now: float, target: str) -> bool:
+        """Return whether a hedge leaves enough of the budget for retries."""
         budget = self._budgets.group(self._group_of(target))
-        left = budget.share_left(now, self._instances)
-        return left < repeats.RETRY_RESERVE_SHARE
+        return budget.allows_hedge(now, self._instances)
 
 
 class RouteHedging:
@@ -99,7 +102,7 @@
 
     def delay(self, now: float, target: str) -> float | None:
         """Return the seconds to the hedge, or None for no hedge."""
-        if not self._route.idempotent or self._budget.spent(now, target):
+        if not self._budget.allows_hedge(now, target):
             return None
         scarce = self._budget.scarce(now, target)
         return self._timing.hedge_after(self._route, scarce)
--- a/tests/process/serving/test_roster.py
+++ b/tests/process/serving/test_roster.py
@@ -27,6 +27,13 @@
     assert large in roster.aggregators([*members(20), large], "a")
 
 
+def test_small_instances_do_not_fill_up_the_number() -> None:
+    """Guards against aggregators that take longer than callers wait."""
+    large = [roster.Member(f"large{n}", "a", "h", n, 64.0) for n in range(2)]
+    assert set(roster.aggregators([*members(46), *large], "a")) == set(large)
+    assert len(roster.aggregators([*members(46), large[0]], "a")) == 2
+
+
 @hypothesis.given(strategies.permutations(members(20)))
 def test_order_of_the_list_does_not_matter(listed: list[roster.Member]) -> None:
     """Guards against instances that choose differently from one list."""
