--- a/jackdawpass/cli.py
+++ b/jackdawpass/cli.py
@@ -22,6 +22,7 @@
     "version",
     "stand_in",
     "bench",
+    "soak",
     "demo",
 )
 
--- a/jackdawpass/standins/listed_target.py
+++ b/jackdawpass/standins/listed_target.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from jackdawpass import clock
 from jackdawpass.standins import wire
 
 RECORD_BYTES = 16
@@ -53,12 +54,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Run:
-    """A request that the target ran."""
+    """A request that the target ran, `at` monotonic seconds of the machine."""
 
     request_id: str
     method: str
     path: str
     body: str
+    at: float
 
 
 def group_records(group: str, path: str, count: int) -> list[bytes]:
@@ -118,7 +120,9 @@
             return
         request_id = request.headers.get("x-attempt-id", "")
         body = request.body.decode("latin-1")
-        self._runs.append(Run(request_id, request.method, request.path, body))
+        self._runs.append(
+            Run(request_id, request.method, request.path, body, clock.monotonic())
+        )
         if self._faults.mode == "hang":
             return
         seconds = (self._options.work_ms + self._faults.slow_ms) / 1000
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults against real processes, injected from outside them."""
--- /dev/null
+++ b/soak/estate.py
@@ -0,0 +1,227 @@
+"""The processes of a run: a store, targets and fronts, with proxied links."""
+
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import typing
+
+from jackdawpass.bench import processes
+from jackdawpass.connection import blocking
+from jackdawpass.process.serving import census
+from soak import proxy
+
+HOST = "soak.example"
+GROUPS = ("s0", "s1", "s2")
+RECORDS = 4
+LIMIT = 6
+MIN_COVERAGE = 0.6
+SETTINGS = """
+node = "{name}"
+zone = "{zone}"
+ip = "127.0.0.1"
+internal_port_range = [{peers},{peers}]
+[listen]
+front = "127.0.0.1:{front}"
+readiness_address = "127.0.0.1:{ready}"
+[limits]
+cpu_share = 0.5
+cores = 1
+link_mbps = 100.0
+[bounds]
+grace_s = 6
+retry_budget_ratio = 0.2
+retry_window_s = 10
+retry_budget_slack = 129
+[platform]
+address = "127.0.0.1:{store}"
+"""
+
+
+def free_port() -> int:
+    """Return a port that is free now."""
+    with socket.socket() as listening:
+        listening.bind(("127.0.0.1", 0))
+        return int(listening.getsockname()[1])
+
+
+class Front:
+    """One front process, which may be started again."""
+
+    def __init__(self, settings: pathlib.Path, port: int, ready: int) -> None:
+        self._settings = settings
+        self.port = port
+        self.ready_port = ready
+        self.incarnation = 0
+        self._log = settings.with_suffix(".log")
+        self._process = self._start()
+
+    def restart(self) -> None:
+        """Kill the process if it runs, and start it again."""
+        self.stop()
+        self.incarnation += 1
+        self._process = self._start()
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process if it runs."""
+        if self._process.poll() is None:
+            self._process.send_signal(number)
+
+    def ended(self) -> bool:
+        """Return whether the process has ended."""
+        return self._process.poll() is not None
+
+    def stop(self) -> None:
+        """Kill the process."""
+        if self._process.poll() is None:
+            self._process.kill()
+        self._process.wait()
+
+    def _start(self) -> subprocess.Popen[bytes]:
+        with self._log.open("ab") as log:
+            return subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "jackdawpass",
+                    "front",
+                    "--settings",
+                    str(self._settings),
+                ],
+                stdout=log,
+            )
+
+
+class Estate:
+    """All processes; ends only those that it started."""
+
+    def __init__(self, directory: pathlib.Path, fronts: int, tier: bool) -> None:
+        self.proxies = proxy.Proxies()
+        self.store = processes.Server(["stand-in", "store"])
+        self.targets: dict[str, processes.Server] = {}
+        self.target_links: dict[str, proxy.Link] = {}
+        self.store_links: dict[str, proxy.Link] = {}
+        self.fronts: dict[str, Front] = {}
+        self.version = 0
+        self._entries: dict[str, dict[str, typing.Any]] = {}
+        for group in GROUPS:
+            for zone in ("a", "b"):
+                self._add_target(f"{group}-{zone}", group, zone)
+        self.configure()
+        if tier:
+            self._add_absent_instances()
+        for number in range(fronts):
+            zone = "a" if tier or number % 2 == 0 else "b"
+            self._add_front(directory, f"front-{number}", zone)
+
+    def configure(self) -> None:
+        """Write the next version, which adds a route that marks it."""
+        self.version += 1
+        marks = [
+            _route(f"v{number}", service="s0") for number in range(1, self.version + 1)
+        ]
+        routes = [
+            _route(
+                "search",
+                fanout=list(GROUPS),
+                top_k=LIMIT,
+                min_shard_ratio=MIN_COVERAGE,
+            ),
+            _route("lookup", service="s1"),
+            _route("reserve", service="s2", type="non_idempotent"),
+            *marks,
+        ]
+        services = [{"name": name, "max_connections": 60} for name in GROUPS]
+        content = {"version": self.version, "routes": routes, "services": services}
+        self._put("config", "main", content)
+
+    def list_target(self, name: str, **changes: typing.Any) -> None:
+        """Write a target's entry."""
+        self._entries[name] |= changes
+        self._put("servers", name, self._entries[name])
+
+    def faults(self, process: processes.Server, **faults: typing.Any) -> None:
+        """Induce faults in the store or a target; those not named end."""
+        blocking.call("POST", f"{process.url}/control/faults", faults)
+
+    def forget_history(self) -> None:
+        """Let the store drop its history and cut its watches."""
+        blocking.call("POST", f"{self.store.url}/control/forget", {})
+
+    def runs(self) -> dict[str, list[dict[str, typing.Any]]]:
+        """Return what each target ran."""
+        return {
+            name: blocking.call("GET", f"{target.url}/control/runs").document["runs"]
+            for name, target in self.targets.items()
+        }
+
+    def close(self) -> None:
+        """Kill all processes."""
+        for front in self.fronts.values():
+            front.stop()
+        for target in self.targets.values():
+            target.stop()
+        self.store.stop()
+        self.proxies.close()
+
+    def _add_target(self, name: str, group: str, zone: str) -> None:
+        options = json.dumps(
+            {"name": name, "group": group, "records": RECORDS, "work_ms": 5}
+        )
+        target = processes.Server(["stand-in", "listed-target", "--options", options])
+        self.targets[name] = target
+        self.target_links[name] = self.proxies.add(target.port)
+        self._entries[name] = {
+            "service": group,
+            "address": f"127.0.0.1:{self.target_links[name].port}",
+            "zone": zone,
+            "slots": 2,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": 1,
+        }
+        self.list_target(name)
+
+    def _add_front(self, directory: pathlib.Path, name: str, zone: str) -> None:
+        link = self.store_links[name] = self.proxies.add(self.store.port)
+        port, ready = free_port(), free_port()
+        path = directory / f"{name}.toml"
+        path.write_text(
+            SETTINGS.format(
+                name=name,
+                zone=zone,
+                front=port,
+                ready=ready,
+                peers=free_port(),
+                store=link.port,
+            )
+        )
+        self.fronts[name] = Front(path, port, ready)
+
+    def _add_absent_instances(self) -> None:
+        """Make zone a large enough for aggregators."""
+        for number in range(16):
+            absent = {"zone": "a", "host": "127.0.0.1", "port": 9, "capacity": 0.01}
+            self._put(census.KIND, f"absent-{number}", absent)
+
+    def _put(self, kind: str, name: str, content: object) -> None:
+        url = f"{self.store.url}/objects/{kind}/{name}"
+        while True:
+            body = {"meta": {"name": name}, "spec": content}
+            if blocking.call("PUT", url, body).status == 200:
+                return
+
+
+def _route(name: str, **changes: typing.Any) -> dict[str, typing.Any]:
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "type": "idempotent",
+        "timeout_ms": 1500,
+        "target_latency_ms": 300,
+        "max_attempts": 2,
+    } | changes
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,121 @@
+"""Loopback proxy of one link that delays, resets, silences or cuts it one way."""
+
+import asyncio
+import collections.abc
+import contextlib
+import enum
+import threading
+import typing
+
+CHUNK_BYTES = 65_536
+STEP_SECONDS = 0.02
+
+
+class Mode(enum.Enum):
+    """What happens to the bytes of a link."""
+
+    CALM = "calm"
+    SLOW = "slow"
+    RESET = "reset"
+    SILENT = "silent"
+    NO_REPLIES = "no_replies"
+
+
+SLOW_SECONDS = 0.08
+
+
+class Link:
+    """A proxied link; its mode may change at any time."""
+
+    def __init__(self, port: int) -> None:
+        self.far_port = port
+        self.port = 0
+        self.mode = Mode.CALM
+        self.connections: set[asyncio.StreamWriter] = set()
+
+
+class Proxies:
+    """All links of a run, on one thread of their own."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._thread.start()
+
+    def add(self, port: int) -> Link:
+        """Return a link to a port of 127.0.0.1."""
+        link = Link(port)
+        self._call(self._listen(link))
+        return link
+
+    def set(self, link: Link, mode: Mode) -> None:
+        """Change what happens to a link; a reset also ends what is open."""
+        link.mode = mode
+        if mode is Mode.RESET:
+            self._call(self._reset(link))
+
+    def close(self) -> None:
+        """End all links and the thread."""
+        self._loop.call_soon_threadsafe(self._stop)
+        self._thread.join()
+
+    async def _listen(self, link: Link) -> None:
+        async def accept(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await self._relay(link, reader, writer)
+
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        link.port = int(server.sockets[0].getsockname()[1])
+
+    async def _reset(self, link: Link) -> None:
+        for writer in list(link.connections):
+            writer.transport.abort()
+
+    async def _relay(
+        self, link: Link, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if link.mode is Mode.RESET:
+            writer.transport.abort()
+            return
+        link.connections.add(writer)
+        with contextlib.suppress(OSError):
+            far = await asyncio.open_connection("127.0.0.1", link.far_port)
+            pumps = {
+                asyncio.create_task(self._pump(link, reader, far[1], False)),
+                asyncio.create_task(self._pump(link, far[0], writer, True)),
+            }
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+            for pump in pumps:
+                pump.cancel()
+            far[1].transport.abort()
+        link.connections.discard(writer)
+        writer.transport.abort()
+
+    async def _pump(
+        self,
+        link: Link,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        is_reply: bool,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                while link.mode is Mode.SILENT or (
+                    link.mode is Mode.NO_REPLIES and is_reply
+                ):
+                    await asyncio.sleep(STEP_SECONDS)
+                if link.mode is Mode.SLOW:
+                    await asyncio.sleep(SLOW_SECONDS)
+                writer.write(data)
+                await writer.drain()
+
+    def _stop(self) -> None:
+        for task in asyncio.all_tasks(self._loop):
+            task.cancel()
+        self._loop.call_soon(self._loop.stop)
+
+    def _call(
+        self, coroutine: collections.abc.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(10.0)
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fault soak."""
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -9,7 +9,7 @@
 MAX_LINES = 400
 SOURCES = sorted(
     path
-    for folder in ("binary", "jackdawpass", "specs", "tests")
+    for folder in ("binary", "jackdawpass", "soak", "specs", "tests")
     for path in (ROOT / folder).rglob("*.py")
 )
 
@@ -26,7 +26,13 @@
     for node in ast.walk(tree):
         if not isinstance(node, ast.ImportFrom) or node.module is None:
             continue
-        if node.module.split(".")[0] in ("binary", "jackdawpass", "specs", "tests"):
+        if node.module.split(".")[0] in (
+            "binary",
+            "jackdawpass",
+            "soak",
+            "specs",
+            "tests",
+        ):
             names = [alias.name for alias in node.names]
             allowed = [
                 name
