Revert the earlier look at a hedge that was put off

Conclusion: hedging sooner while everything is slow adds load and gains nothing; the trial is not kept.

--- a/jackdawpass/request/fanout.py
+++ b/jackdawpass/request/fanout.py
@@ -11,9 +11,6 @@
 # With more than this share of a query's first attempts unanswered, none is hedged.
 MAX_UNANSWERED_SHARE = 0.5
 MIN_UNANSWERED = 4
-# A hedge put off for that reason is looked at again after this share of its delay:
-# replies often come at nearly the same time, and the objective does not wait.
-PUT_OFF_SHARE = 0.2
 
 
 class Fanout:
@@ -259,7 +256,7 @@
         is_mostly_unanswered = self._is_mostly_unanswered()
         for attempt in self._outstanding.pop_due_hedges(now):
             if is_mostly_unanswered:
-                self._plan_hedge(now, attempt, PUT_OFF_SHARE)
+                self._plan_hedge(now, attempt)
                 continue
             uncovered = attempt.shards & self._merge.uncovered
             shards = frozenset(s for s in uncovered if self._may_try(s))
@@ -270,14 +267,11 @@
                     self._plan_hedge(now, attempt)
         return actions
 
-    def _plan_hedge(
-        self, now: float, attempt: model.Attempt, share: float = 1.0
-    ) -> bool:
-        """Schedule a hedge after a share of its delay; return whether there is one."""
+    def _plan_hedge(self, now: float, attempt: model.Attempt) -> bool:
         delay = self._hedging.delay(now, attempt.target)
         if delay is None:
             return False
-        self._outstanding.schedule_hedge(attempt.attempt_id, now + share * delay)
+        self._outstanding.schedule_hedge(attempt.attempt_id, now + delay)
         return True
 
     def _is_mostly_unanswered(self) -> bool:
