Prove the front's promises by tests of its parts and by mutations

Cause: hand-overs, desks and the planned stop were tested on processes alone, and nothing showed that the tests of the platform's path can fail.

--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -51,7 +51,7 @@
     Mutation(
         "one snapshot",
         "jackdawpass/request/fanout.py",
-        "self._merge = merge.Merge(pinned.shards)",
+        "self._merge = self._merger(pinned.shards)",
         "pass",
         "tests/request/test_fanout.py",
     ),
@@ -196,6 +196,98 @@
         "if False:",
         "tests/process/test_store.py",
     ),
+    Mutation(
+        "front: no crossed answers",
+        "jackdawpass/platform/target_dialect.py",
+        "return request_id is None or request_id == attempt.request_id.encode()",
+        "return True",
+        "tests/platform/test_target_dialect.py",
+    ),
+    Mutation(
+        "front: no request for another target",
+        "jackdawpass/platform/target_dialect.py",
+        "            headers.ONLY_TARGET,\n",
+        '            b"x-nothing",\n',
+        "tests/platform/test_front_process.py",
+    ),
+    Mutation(
+        "front: not run is truth",
+        "jackdawpass/platform/callers.py",
+        "return 502 if problem.status == 503 else problem.status",
+        "return problem.status",
+        "tests/platform/test_callers.py",
+    ),
+    Mutation(
+        "front: no doubled shard",
+        "jackdawpass/request/records.py",
+        "if shard not in self._uncovered:\n            return False\n"
+        "        self._uncovered.remove(shard)",
+        "self._uncovered.discard(shard)",
+        "tests/request/test_records.py",
+    ),
+    Mutation(
+        "front: leaving target",
+        "jackdawpass/process/serving/targets.py",
+        "if not state.listed.leaving and state.listed.name not in excluded",
+        "if state.listed.name not in excluded",
+        "tests/platform/test_front_process.py",
+    ),
+    Mutation(
+        "front: version never reverts",
+        "jackdawpass/process/serving/gateway.py",
+        "if self._table is not None and table.version <= self._table.version:",
+        "if False:",
+        "tests/platform/test_front_process.py",
+    ),
+    Mutation(
+        "front: version never reverts over aggregators",
+        "jackdawpass/process/serving/desk.py",
+        "return self._part.own_ready and self.report.version >= seen",
+        "return self._part.own_ready",
+        "tests/process/serving/test_desk.py",
+    ),
+    Mutation(
+        "front: in force after a swallowed watch",
+        "jackdawpass/process/serving/view.py",
+        "        self.refresh()\n",
+        "        pass\n",
+        "tests/platform/test_front_process.py",
+    ),
+    Mutation(
+        "front: in force after a cut watch",
+        "jackdawpass/process/serving/mirror.py",
+        "        self._failures += 1\n        self._revision = None\n",
+        "        self._failures += 1\n",
+        "tests/process/serving/test_mirror.py",
+    ),
+    Mutation(
+        "front: callers who leave",
+        "jackdawpass/connection/ingress.py",
+        "        if current is not None:\n            current.caller_gone()\n",
+        "",
+        "tests/platform/test_front_process.py",
+    ),
+    Mutation(
+        "front: budget of all instances",
+        "jackdawpass/process/serving/repeats.py",
+        "self.limits.slack / max(1, instances)",
+        "self.limits.slack",
+        "tests/process/serving/test_repeats.py",
+    ),
+    Mutation(
+        "front: graceful stop",
+        "jackdawpass/process/serving/shutdown.py",
+        "return Step.CLOSE_IDLE if busy else Step.EXIT",
+        "return Step.EXIT",
+        "tests/process/serving/test_shutdown.py",
+    ),
+    Mutation(
+        "front: lost aggregators",
+        "jackdawpass/process/serving/delegation.py",
+        "        for each in list(self.handed):\n            each.lost()\n",
+        "",
+        "tests/process/serving/test_delegation.py",
+    ),
 )
 
 
@@ -213,7 +305,9 @@
 def _is_caught(mutation: Mutation) -> bool:
     with tempfile.TemporaryDirectory() as directory:
         copy = pathlib.Path(directory) / "tree"
-        ignored = shutil.ignore_patterns(".git", ".venv", ".*_cache", "__pycache__")
+        ignored = shutil.ignore_patterns(
+            ".git", ".venv", ".*_cache", "__pycache__", "journal", "target"
+        )
         shutil.copytree(ROOT, copy, ignore=ignored)
         _apply(mutation, copy / mutation.path)
         command = [sys.executable, "-m", "pytest", "-x", "-q", mutation.test]
--- /dev/null
+++ b/tests/process/serving/test_desk.py
@@ -0,0 +1,131 @@
+"""Which requests an instance takes from others."""
+
+import typing
+
+import pytest
+from returns import result
+
+from jackdawpass.connection import ingress
+from jackdawpass.process.serving import desk, gateway, peer_wire
+from jackdawpass.version import routes
+
+
+class Part:
+    """State of an instance, as the test sets it."""
+
+    asks_targets = True
+    own_ready = True
+    ready = True
+    stopping = False
+    isolated = False
+
+    def __init__(self) -> None:
+        self.needed = 0
+
+    def need_targets(self) -> None:
+        self.needed += 1
+
+
+class Wire:
+    """Takes every request, and answers outcomes with their own text."""
+
+    def decode_request(
+        self, request: ingress.IncomingRequest
+    ) -> result.Result[gateway.CallerRequest, int]:
+        return result.Success(gateway.CallerRequest("r", "h", "/", 1.0, b""))
+
+    def encode_outcome(self, outcome: object) -> ingress.OutgoingAnswer:
+        return ingress.OutgoingAnswer(200, (), b"")
+
+    def encode_hand_over(
+        self, request: gateway.CallerRequest, patience: float, extra: ingress.Headers
+    ) -> bytes:
+        return b""
+
+
+class Gateway:
+    """Serves every request at once."""
+
+    def __init__(self) -> None:
+        self.table: routes.RoutingTable | None = routes.RoutingTable(
+            7, (), (), routes.CallerLimits()
+        )
+        self.served: list[gateway.CallerRequest] = []
+
+    def serve(
+        self, request: gateway.CallerRequest, on_outcome: typing.Any
+    ) -> ingress.Exchange:
+        self.served.append(request)
+        on_outcome(None)
+        return self  # type: ignore[return-value]
+
+
+class Peer:
+    def __init__(self) -> None:
+        self.part = Part()
+        self.gateway = Gateway()
+        wire: typing.Any = Wire()
+        served_by: typing.Any = self.gateway
+        self.desk = desk.PeerDesk(wire, served_by, self.part)
+
+    def ask(self, target: bytes = b"/x", **headers: str) -> ingress.OutgoingAnswer:
+        fields = tuple(
+            (name.replace("_", "-").encode(), value.encode())
+            for name, value in headers.items()
+        )
+        answers: list[ingress.OutgoingAnswer] = []
+        request = ingress.IncomingRequest(b"GET", target, fields, b"")
+        self.desk.handle(request, answers.append)
+        return answers[0]
+
+
+@pytest.fixture
+def peer() -> Peer:
+    return Peer()
+
+
+def is_taken(answer: ingress.OutgoingAnswer) -> bool:
+    return peer_wire.NOT_TAKEN not in dict(answer.headers)
+
+
+def test_request_is_served_with_its_age_and_version(peer: Peer) -> None:
+    """Guards against partial answers that arrive late through the hop."""
+    answer = peer.ask(jackdawpass_age_ms="12")
+    assert is_taken(answer)
+    assert dict(answer.headers)[peer_wire.VERSION] == b"7"
+    assert peer.gateway.served[0].age == 0.012
+
+
+def test_request_that_has_seen_a_newer_version_is_not_taken(peer: Peer) -> None:
+    """Guards against a version that goes back because two aggregators differ."""
+    assert not is_taken(peer.ask(jackdawpass_version="8"))
+    assert is_taken(peer.ask(jackdawpass_version="7"))
+
+
+def test_instance_without_targets_takes_nothing_and_begins_to_follow(
+    peer: Peer,
+) -> None:
+    """Guards against refusing for ever what others think is this one's duty."""
+    peer.part.own_ready = False
+    assert not is_taken(peer.ask())
+    assert peer.part.needed == 1
+
+
+@pytest.mark.parametrize(
+    ("change", "state"),
+    [
+        ({}, peer_wire.State.READY),
+        ({"isolated": True}, peer_wire.State.ISOLATED),
+        ({"stopping": True}, peer_wire.State.UNREADY),
+        ({"own_ready": False}, peer_wire.State.UNREADY),
+    ],
+)
+def test_ping_tells_the_state(
+    peer: Peer, change: dict[str, bool], state: peer_wire.State
+) -> None:
+    """Guards against requests handed to an instance that cannot serve them."""
+    for name, value in change.items():
+        setattr(peer.part, name, value)
+    answer = peer.ask(peer_wire.PING_PATH)
+    assert dict(answer.headers)[peer_wire.STATE] == state.value.encode()
+    assert not peer.gateway.served
