--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -5,32 +5,12 @@
 import http.client
 import json
 import pathlib
-import socket
 import typing
 
+from soak import estate
 from tests import rig
 
 HOST = "shop.example"
-SETTINGS = """
-node = "{name}"
-zone = "{zone}"
-ip = "127.0.0.1"
-internal_port_range = [{peers},{peers}]
-[listen]
-front = "127.0.0.1:{front}"
-readiness_address = "127.0.0.1:{ready}"
-[limits]
-cpu_share = 0.5
-cores = 1
-link_mbps = 100.0
-[bounds]
-grace_s = 6
-retry_budget_ratio = 0.2
-retry_window_s = 10
-retry_budget_slack = 129
-[platform]
-address = "127.0.0.1:{store}"
-"""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -46,12 +26,6 @@
         return self.headers.get("x-part-stamps", "").replace(" ", "").split(",")
 
 
-def free_port() -> int:
-    with socket.socket() as listening:
-        listening.bind(("127.0.0.1", 0))
-        return int(listening.getsockname()[1])
-
-
 class Front:
     """One front process."""
 
@@ -152,15 +126,15 @@
 
     def start_front(self, name: str = "front-1", zone: str = "a") -> Front:
         """Start a front without waiting for it."""
-        front, ready = free_port(), free_port()
+        front, ready = estate.free_port(), estate.free_port()
         path = self._directory / f"{name}.toml"
         path.write_text(
-            SETTINGS.format(
+            estate.SETTINGS.format(
                 name=name,
                 zone=zone,
                 front=front,
                 ready=ready,
-                peers=free_port(),
+                peers=estate.free_port(),
                 store=self.store.port,
             )
         )
