Write the replies of shards and the answered request once

Cause: two merges and four classes of an answered request stood twice. Change: ShardReplies is the base of both merges, ingress.Ended the one answered request; an unused logger goes. No behaviour changes.

--- a/jackdawpass/connection/ingress.py
+++ b/jackdawpass/connection/ingress.py
@@ -80,6 +80,13 @@
         """Give up what the caller no longer waits for."""
 
 
+class Ended:
+    """A request that was answered at once."""
+
+    def caller_gone(self) -> None:
+        """Do nothing."""
+
+
 OnAnswer = collections.abc.Callable[[OutgoingAnswer], None]
 
 
--- a/jackdawpass/process/serving/desk.py
+++ b/jackdawpass/process/serving/desk.py
@@ -65,13 +65,6 @@
         """Follow configuration and targets for a while."""
 
 
-class _Ended:
-    """A request that ended at once."""
-
-    def caller_gone(self) -> None:
-        """Do nothing."""
-
-
 class _Waiting:
     """A request that waits until this instance knows the targets."""
 
@@ -165,7 +158,7 @@
         decoded = self._wire.decode_request(request)
         if isinstance(decoded, result.Failure):
             on_answer(ingress.OutgoingAnswer(decoded.failure(), (), b""))
-            return _Ended()
+            return ingress.Ended()
         known = decoded.unwrap()
         if self._part.asks_targets:
             return self._serve(known, on_answer)
@@ -201,7 +194,7 @@
             version = 0 if table is None else table.version
             if not self._part.own_ready or version < self._delegation.version:
                 on_answer(self._wire.encode_outcome(gateway.NO_CONFIGURATION))
-                return _Ended()
+                return ingress.Ended()
             self._delegation.on_version(version)
             return self._serve(request, on_answer)
 
@@ -260,12 +253,12 @@
         self._part.need_targets()
         if request.target == peer_wire.PING_PATH:
             on_answer(self._with_report(ingress.OutgoingAnswer(200, (), b"")))
-            return _Ended()
+            return ingress.Ended()
         decoded = self._wire.decode_request(request)
         if isinstance(decoded, result.Failure) or not self._takes(request):
             refused = ingress.OutgoingAnswer(503, ((peer_wire.NOT_TAKEN, b"1"),), b"")
             on_answer(self._with_report(refused))
-            return _Ended()
+            return ingress.Ended()
 
         def on_outcome(outcome: gateway.Outcome) -> None:
             on_answer(self._with_report(self._wire.encode_outcome(outcome)))
--- a/jackdawpass/process/serving/gateway.py
+++ b/jackdawpass/process/serving/gateway.py
@@ -7,6 +7,7 @@
 import typing
 
 from jackdawpass import clock
+from jackdawpass.connection import ingress
 from jackdawpass.process import shares, submission
 from jackdawpass.process.serving import (
     journal,
@@ -77,20 +78,6 @@
     age: float = 0.0
 
 
-class Running(typing.Protocol):
-    """A request under way."""
-
-    def caller_gone(self) -> None:
-        """Give up what the caller no longer waits for."""
-
-
-class _Done:
-    """A request that ended at once."""
-
-    def caller_gone(self) -> None:
-        """Do nothing."""
-
-
 class Gateway:
     """Serves requests by the routing table in force and the listed targets.
 
@@ -191,7 +178,7 @@
         self._reach.on_store_back()
         self._isolated = False
 
-    def serve(self, request: CallerRequest, on_outcome: OnOutcome) -> Running:
+    def serve(self, request: CallerRequest, on_outcome: OnOutcome) -> ingress.Exchange:
         """Serve a request; `on_outcome` is called once, possibly before returning."""
         now = clock.monotonic()
         observer = journal.RequestJournal(now, request.request_id)
@@ -351,10 +338,10 @@
 
 def _refuse(
     problem: problems.Problem, observer: journal.RequestJournal, on_outcome: OnOutcome
-) -> Running:
+) -> ingress.Exchange:
     observer.finished(problem)
     on_outcome(problem)
-    return _Done()
+    return ingress.Ended()
 
 
 def _with_return_time(outcome: Outcome) -> Outcome:
--- a/jackdawpass/process/serving/pages.py
+++ b/jackdawpass/process/serving/pages.py
@@ -5,14 +5,6 @@
 from jackdawpass.connection import ingress
 from jackdawpass.version import routes
 
-
-class _Ended:
-    """An answered question."""
-
-    def caller_gone(self) -> None:
-        """Do nothing."""
-
-
 Page = collections.abc.Callable[[], ingress.OutgoingAnswer]
 
 
@@ -43,7 +35,7 @@
     ) -> ingress.Exchange:
         """Answer at once."""
         on_answer(self._page())
-        return _Ended()
+        return ingress.Ended()
 
     def on_open(self, connection: ingress.CallerConnection) -> None:
         """Do nothing."""
--- a/jackdawpass/process/serving/sender.py
+++ b/jackdawpass/process/serving/sender.py
@@ -4,12 +4,10 @@
 import typing
 
 from jackdawpass.connection import dialect, pool
-from jackdawpass.process import logs, submission
+from jackdawpass.process import submission
 from jackdawpass.process.serving import targets
 from jackdawpass.request import model, runner
 
-_logger = logs.get_logger(__name__)
-
 # How long a reply that nobody waits for may take before its connection is closed.
 # Targets have to stop within half a second after a caller has gone.
 LINGER_SECONDS = 0.25
--- a/jackdawpass/request/records.py
+++ b/jackdawpass/request/records.py
@@ -4,7 +4,7 @@
 import dataclasses
 import heapq
 
-from jackdawpass.request import model
+from jackdawpass.request import merge
 
 RECORD_BYTES = 16
 
@@ -43,46 +43,7 @@
     records: bytes
 
 
-class _RawMerge:
-    """Replies of the shards covered so far."""
-
-    def __init__(self, shards: frozenset[int]) -> None:
-        self._total = len(shards)
-        self._uncovered = set(shards)
-        self._replies: dict[int, RawReply] = {}
-
-    @property
-    def uncovered(self) -> collections.abc.Set[int]:
-        """Shards without a reply, as a view that changes with `add`."""
-        return self._uncovered
-
-    @property
-    def ratio(self) -> float:
-        """Covered share of the shards, from 0 to 1."""
-        return len(self._replies) / self._total if self._total else 0.0
-
-    def add(self, shard: int, results: RawReply) -> bool:
-        """Add the reply of a shard; return False when the shard is already covered."""
-        if shard not in self._uncovered:
-            return False
-        self._uncovered.remove(shard)
-        self._replies[shard] = results
-        return True
-
-    def coverage(
-        self, reasons: collections.abc.Mapping[int, model.MissingReason]
-    ) -> model.Coverage:
-        """Return the coverage; `reasons` holds the reason of each missing shard."""
-        missing = tuple(
-            model.MissingShard(
-                shard, reasons.get(shard, model.MissingReason.NOT_STARTED)
-            )
-            for shard in sorted(self._uncovered)
-        )
-        return model.Coverage(self._total, len(self._replies), missing)
-
-
-class RecordMerge(_RawMerge):
+class RecordMerge(merge.ShardReplies):
     """Merges bodies that are sequences of records."""
 
     def top(self, limit: int) -> TopRecords:
@@ -95,12 +56,13 @@
         return TopRecords(signatures, b"".join(greatest))
 
 
-class RelayMerge(_RawMerge):
+class RelayMerge(merge.ShardReplies):
     """Holds the reply of the only shard."""
 
     def top(self, limit: int) -> RawReply:
         """Return the reply; `limit` does not apply."""
-        return next(iter(self._replies.values()))
+        reply: RawReply = next(iter(self._replies.values()))
+        return reply
 
 
 def _records(reply: RawReply) -> collections.abc.Iterator[bytes]:
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -219,7 +219,7 @@
     ),
     Mutation(
         "front: no doubled shard",
-        "jackdawpass/request/records.py",
+        "jackdawpass/request/merge.py",
         "if shard not in self._uncovered:\n            return False\n"
         "        self._uncovered.remove(shard)",
         "self._uncovered.discard(shard)",
