--- a/jackdawpass/connection/dialect.py
+++ b/jackdawpass/connection/dialect.py
@@ -40,6 +40,10 @@
 class TargetDialect(typing.Protocol):
     """Encodes sub-requests to a target and decodes its replies."""
 
+    @property
+    def acknowledges(self) -> bool:
+        """True when an interim reply says that a sub-request was taken."""
+
     def encode_query(self, query: object) -> bytes:
         """Encode the part shared by all sub-requests of a query, once."""
 
@@ -113,6 +117,8 @@
         Availability zone of this instance, sent as ``Caller-Zone``.
     """
 
+    acknowledges = False
+
     def __init__(self, zone: str = "") -> None:
         zone_line = f"Caller-Zone: {zone}\r\n" if zone else ""
         self._head = f"Host: target\r\n{zone_line}Content-Type: application/json\r\n"
--- a/jackdawpass/connection/exchange.py
+++ b/jackdawpass/connection/exchange.py
@@ -27,6 +27,7 @@
 
 
 OnDone = collections.abc.Callable[[dialect.HttpReply | Loss], None]
+OnInterim = collections.abc.Callable[[], None]
 Belongs = collections.abc.Callable[[dialect.HttpReply], bool]
 
 # A target may close an idle connection as its timeout ends, so the last part of that
@@ -61,6 +62,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._on_done: OnDone | None = None
         self._belongs: Belongs | None = None
+        self._on_interim: OnInterim | None = None
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -94,10 +96,16 @@
         return self._aborted
 
     def send(
-        self, request: bytes, on_done: OnDone, belongs: Belongs | None = None
+        self,
+        request: bytes,
+        on_done: OnDone,
+        belongs: Belongs | None = None,
+        on_interim: OnInterim | None = None,
     ) -> None:
         """Write a request; `on_done` is called exactly once unless aborted.
 
+        `on_interim` is called at each interim (1xx) reply before it.
+
         Complete replies that do not belong to the request, as `belongs` says, are
         dropped; its own one follows them.
 
@@ -108,6 +116,7 @@
             raise RuntimeError("the connection is not idle; take another one")
         self._on_done = on_done
         self._belongs = belongs
+        self._on_interim = on_interim
         self._exchanges += 1
         self._write(request)
 
@@ -116,6 +125,7 @@
         if self._on_done is None:
             raise RuntimeError("no reply is outstanding")
         self._on_done = on_done
+        self._on_interim = None
 
     def abort(self) -> None:
         """Close the connection at once and drop its outstanding exchange."""
@@ -207,6 +217,8 @@
         )
         if self._status < 200 or not self._is_expected():
             self._clear()
+            if self._status < 200 and self._on_interim is not None:
+                self._on_interim()
             return
         self._complete = True
 
--- a/jackdawpass/connection/ingress.py
+++ b/jackdawpass/connection/ingress.py
@@ -39,6 +39,8 @@
     504: "Gateway Timeout",
 }
 
+INTERIM_ANSWER = b"HTTP/1.1 102 Processing\r\n\r\n"
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
@@ -104,6 +106,9 @@
     def handle(self, request: IncomingRequest, on_answer: OnAnswer) -> Exchange:
         """Serve a request; `on_answer` is called once, possibly before returning."""
 
+    def acknowledges(self, request: IncomingRequest) -> bool:
+        """Return whether an interim answer says that a request was taken."""
+
     def on_open(self, connection: "CallerConnection") -> None:
         """Note a new connection."""
 
@@ -253,6 +258,8 @@
         current = self._handler.handle(request, on_answer)
         if self._serving:
             self._current = current
+            if self._handler.acknowledges(request):
+                self._write(INTERIM_ANSWER)
 
     def _answer(self, answer: OutgoingAnswer, keeps_alive: bool) -> None:
         if self._closed:
--- a/jackdawpass/platform/callers.py
+++ b/jackdawpass/platform/callers.py
@@ -44,17 +44,15 @@
     )
 
 
-def encode_hand_over(
-    request: gateway.CallerRequest, patience: float, extra: ingress.Headers
-) -> bytes:
-    """Return the request as another instance takes it from a caller."""
-    line_end = request.forward.index(b"\r\n") + 2
+def encode_hand_over(forward: bytes, patience: float, extra: ingress.Headers) -> bytes:
+    """Return a request to forward as another instance takes it from a caller."""
+    line_end = forward.index(b"\r\n") + 2
     fields = (
         (headers.PATIENCE_MS, b"%d" % max(1, round(patience * 1000))),
         *extra,
     )
     own = b"".join(b"%s: %s\r\n" % field for field in fields)
-    return request.forward[:line_end] + own + request.forward[line_end:]
+    return forward[:line_end] + own + forward[line_end:]
 
 
 def encode_outcome(outcome: gateway.Outcome) -> ingress.OutgoingAnswer:
--- a/jackdawpass/platform/target_dialect.py
+++ b/jackdawpass/platform/target_dialect.py
@@ -25,6 +25,8 @@
 class TargetDialect:
     """Passes callers' requests on unchanged, with what is left of their time."""
 
+    acknowledges = False
+
     def encode_query(self, query: object) -> bytes:
         """Return the encoded request, which is shared by all sub-requests."""
         assert isinstance(query, bytes)
--- a/jackdawpass/process/serving/desk.py
+++ b/jackdawpass/process/serving/desk.py
@@ -7,7 +7,8 @@
 from returns import result
 
 from jackdawpass.connection import ingress
-from jackdawpass.process.serving import delegation, gateway, peer_wire
+from jackdawpass.process.serving import delegation, gateway, parts, peer_wire
+from jackdawpass.request import model
 from jackdawpass.version import routes
 
 # An instance that has to ask targets itself lists them first; a caller waits so long
@@ -33,9 +34,9 @@
         """Return the answer to a caller."""
 
     def encode_hand_over(
-        self, request: gateway.CallerRequest, patience: float, extra: ingress.Headers
+        self, forward: bytes, patience: float, extra: ingress.Headers
     ) -> bytes:
-        """Return the request as another instance takes it from a caller."""
+        """Return a request to forward as another instance takes it from a caller."""
 
 
 class Part(typing.Protocol):
@@ -164,7 +165,7 @@
             return self._serve(known, on_answer)
         return self._delegation.hand_over(
             lambda patience, version: self._wire.encode_hand_over(
-                known,
+                known.forward,
                 patience,
                 peer_wire.encode_request(
                     known.patience - patience + HOP_SECONDS, version
@@ -175,6 +176,10 @@
             lambda: self._serve_alone(known, on_answer),
         )
 
+    def acknowledges(self, request: ingress.IncomingRequest) -> bool:
+        """Return False: callers get one answer."""
+        return False
+
     def _serve(
         self, request: gateway.CallerRequest, on_answer: ingress.OnAnswer
     ) -> ingress.Exchange:
@@ -256,9 +261,10 @@
             return ingress.Ended()
         decoded = self._wire.decode_request(request)
         if isinstance(decoded, result.Failure) or not self._takes(request):
-            refused = ingress.OutgoingAnswer(503, ((peer_wire.NOT_TAKEN, b"1"),), b"")
-            on_answer(self._with_report(refused))
-            return ingress.Ended()
+            return self._decline(on_answer)
+        part = peer_wire.decode_part(request)
+        if part is not None:
+            return self._serve_part(decoded.unwrap(), part, on_answer)
 
         def on_outcome(outcome: gateway.Outcome) -> None:
             on_answer(self._with_report(self._wire.encode_outcome(outcome)))
@@ -266,6 +272,33 @@
         known = dataclasses.replace(decoded.unwrap(), age=peer_wire.decode_age(request))
         return self._gateway.serve(known, on_outcome)
 
+    def acknowledges(self, request: ingress.IncomingRequest) -> bool:
+        """Return whether a request is for some shards: its sender may ask elsewhere."""
+        return request.header(peer_wire.SHARDS) is not None
+
+    def _serve_part(
+        self,
+        request: gateway.CallerRequest,
+        part: peer_wire.Part,
+        on_answer: ingress.OnAnswer,
+    ) -> ingress.Exchange:
+        def on_outcome(outcome: gateway.Outcome) -> None:
+            if isinstance(outcome, model.Answer):
+                on_answer(self._with_report(parts.encode_answer(outcome)))
+            else:
+                on_answer(self._with_report(self._wire.encode_outcome(outcome)))
+
+        if not self._part.stopping:
+            serving = self._gateway.serve_part(request, part, on_outcome)
+            if serving is not None:
+                return serving
+        return self._decline(on_answer)
+
+    def _decline(self, on_answer: ingress.OnAnswer) -> ingress.Exchange:
+        refused = ingress.OutgoingAnswer(503, ((peer_wire.NOT_TAKEN, b"1"),), b"")
+        on_answer(self._with_report(refused))
+        return ingress.Ended()
+
     def _takes(self, request: ingress.IncomingRequest) -> bool:
         """Return whether no newer version was already seen by who hands it over."""
         seen = peer_wire.decode_seen_version(request)
--- /dev/null
+++ b/jackdawpass/process/serving/evidence.py
@@ -0,0 +1,148 @@
+"""What the ends of attempts teach about targets, other instances and latencies."""
+
+import collections.abc
+
+from jackdawpass.process import submission
+from jackdawpass.process.serving import meters, partners, reach, targets, timing
+from jackdawpass.request import model
+from jackdawpass.version import routes
+
+# An attempt given up after so many ordinary latencies had trouble.
+UNANSWERED_RATIO = 2.0
+_LOST_KINDS = (
+    model.FailureKind.CONNECT_FAILED,
+    model.FailureKind.CONNECTION_LOST,
+    model.FailureKind.TIMED_OUT,
+)
+
+
+class Evidence:
+    """Learns from the ends of attempts.
+
+    Parameters
+    ----------
+    zone : str
+        Availability zone of this instance.
+    known : Targets
+        The listed targets.
+    nearby : Partners
+        Instances of other zones.
+    on_doubt : callable
+        Called when targets of other zones seem to be out of reach.
+    measures : Meters
+        Receives the measurements.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        known: targets.Targets,
+        nearby: partners.Partners,
+        on_doubt: collections.abc.Callable[[], None],
+        measures: meters.Meters,
+    ) -> None:
+        self._zone = zone
+        self._targets = known
+        self._partners = nearby
+        self._on_doubt = on_doubt
+        self._meters = measures
+        self._reach = reach.Reach()
+        self._routes: dict[str, routes.Route] = {}
+        self._timings: dict[str, timing.RouteTiming] = {}
+        self._part_timings: dict[str, timing.RouteTiming] = {}
+
+    @property
+    def reach(self) -> reach.Reach:
+        """Evidence of a cut between zones."""
+        return self._reach
+
+    def apply_routes(self, all_routes: collections.abc.Iterable[routes.Route]) -> None:
+        """Take over the routes; what was learned of those that stay is kept."""
+        self._routes = {route.name: route for route in all_routes}
+        self._timings = _kept(self._timings, self._routes)
+        self._part_timings = _kept(self._part_timings, self._routes)
+
+    def timing(self, route: routes.Route) -> timing.RouteTiming:
+        """Return the latencies of a route's sub-requests."""
+        return self._timings[route.name]
+
+    def on_attempt_end(
+        self, now: float, attempt: model.Attempt, end: submission.End
+    ) -> None:
+        """Learn from the end of an attempt."""
+        route = self._routes.get(attempt.service)
+        if route is None:
+            return
+        if self._partners.zone_of(attempt.target) is not None:
+            self._on_part_end(now, attempt, end, route)
+            return
+        state = self._targets.states.get(attempt.target)
+        if state is not None:
+            self._on_target_end(now, attempt, end, state)
+
+    def _on_target_end(
+        self,
+        now: float,
+        attempt: model.Attempt,
+        end: submission.End,
+        state: targets.TargetState,
+    ) -> None:
+        self._meters.attempt_ended(state.listed.group, attempt, end)
+        known = self._timings[attempt.service]
+        typical = known.typical(self._routes[attempt.service])
+        if state.listed.zone != self._zone:
+            self._note_reach(now, end, UNANSWERED_RATIO * typical)
+        match end:
+            case submission.Replied(latency):
+                known.add(now, latency)
+                state.on_latency(now, latency / typical)
+            case submission.Cancelled(age):
+                state.on_withdrawn(now, age / typical)
+            case model.AttemptFailure():
+                if end.kind is model.FailureKind.WRONG_TARGET:
+                    state.on_misdirected(now)
+                elif targets.is_evidence(end):
+                    state.on_failure(now)
+
+    def _on_part_end(
+        self,
+        now: float,
+        attempt: model.Attempt,
+        end: submission.End,
+        route: routes.Route,
+    ) -> None:
+        self._meters.part_ended(route.name, end)
+        unanswered = timing.part_hedge_after(route)
+        self._note_reach(now, end, unanswered)
+        match end:
+            case submission.Replied(latency):
+                known = self._part_timings[route.name]
+                ratio = latency / known.typical(route)
+                known.add(now, latency)
+                self._partners.on_answer(now, attempt.target, ratio)
+            case submission.Cancelled(age, is_accepted):
+                if age >= unanswered and not is_accepted:
+                    self._partners.on_trouble(now, attempt.target)
+            case model.AttemptFailure(model.FailureKind.DECLINED):
+                self._partners.on_declined(now, attempt.target)
+            case model.AttemptFailure():
+                self._partners.on_trouble(now, attempt.target)
+
+    def _note_reach(self, now: float, end: submission.End, unanswered: float) -> None:
+        match end:
+            case submission.Replied():
+                self._reach.on_answer(now)
+            case submission.Cancelled(age, is_accepted):
+                if age > unanswered and not is_accepted:
+                    self._reach.on_trouble(now)
+            case model.AttemptFailure(kind):
+                if kind in _LOST_KINDS:
+                    self._reach.on_trouble(now)
+        if self._reach.doubtful():
+            self._on_doubt()
+
+
+def _kept(
+    known: dict[str, timing.RouteTiming], names: collections.abc.Iterable[str]
+) -> dict[str, timing.RouteTiming]:
+    return {name: known.get(name) or timing.RouteTiming() for name in names}
--- a/jackdawpass/process/serving/front.py
+++ b/jackdawpass/process/serving/front.py
@@ -15,6 +15,7 @@
     gateway,
     meters,
     pages,
+    parts,
     roster,
     settings,
     shutdown,
@@ -77,6 +78,7 @@
             reactor,
             options.zone,
             adapter.wire,
+            parts.PartDialect(adapter.encode_hand_over),
             options.repeats,
             generator,
             self._on_doubt,
@@ -220,7 +222,9 @@
         self._asks_targets = not chosen or any(each.name == me for each in chosen)
         others = () if self._asks_targets else chosen
         self._delegation.apply(others)
-        askers = roster.askers(members)
+        asking = roster.askers(members)
+        self._gateway.apply_partners(clock.monotonic(), asking)
+        askers = len(asking)
         if askers == len(members):
             self._gateway.apply_share(askers)
         elif self._asks_targets:
--- a/jackdawpass/process/serving/gateway.py
+++ b/jackdawpass/process/serving/gateway.py
@@ -7,13 +7,17 @@
 import typing
 
 from jackdawpass import clock
-from jackdawpass.connection import ingress
-from jackdawpass.process import shares, submission
+from jackdawpass.connection import dialect, ingress
+from jackdawpass.process import shares
 from jackdawpass.process.serving import (
+    evidence,
+    group_router,
     journal,
     meters,
-    reach,
+    partners,
+    peer_wire,
     repeats,
+    roster,
     sender,
     targets,
     timing,
@@ -40,13 +44,8 @@
 MIN_DEADLINE_SECONDS = 0.001
 # Time in which the load balancer takes a cut-off instance out of rotation.
 CUT_OFF_RETRY_SECONDS = 1.0
-# An attempt given up after so many ordinary latencies had trouble.
-UNANSWERED_RATIO = 2.0
-_LOST_KINDS = (
-    model.FailureKind.CONNECT_FAILED,
-    model.FailureKind.CONNECTION_LOST,
-    model.FailureKind.TIMED_OUT,
-)
+# Requests that this instance hands to one of another zone at once.
+PARTNER_CONNECTIONS = 16
 
 Outcome = model.Answer | problems.Problem
 OnOutcome = collections.abc.Callable[[Outcome], None]
@@ -89,6 +88,8 @@
         Availability zone of this instance.
     wire : TargetDialect
         Dialect of the targets.
+    part_wire : TargetDialect
+        Dialect of the instances of other zones that are asked for shards.
     limits : RepeatLimits
         Limits of repeats for all instances together.
     generator : random.Random
@@ -103,7 +104,8 @@
         self,
         reactor: typing.Any,
         zone: str,
-        wire: typing.Any,
+        wire: dialect.TargetDialect,
+        part_wire: dialect.TargetDialect,
         limits: repeats.RepeatLimits,
         generator: random.Random,
         on_doubt: collections.abc.Callable[[], None],
@@ -112,14 +114,19 @@
         self._reactor = reactor
         self._random = generator
         self._targets = targets.Targets(zone, generator)
+        self._partners = partners.Partners(zone, generator)
         self._budgets = repeats.Budgets(limits)
-        self._timings: dict[str, timing.RouteTiming] = {}
-        self._sender = sender.Sender(reactor, wire, self)
+        self._evidence = evidence.Evidence(
+            zone, self._targets, self._partners, on_doubt, measures
+        )
+        self._sender = sender.Sender(reactor, wire, self._evidence)
+        self._part_sender = sender.Sender(
+            reactor, part_wire, self._evidence, linger_seconds=0.0
+        )
+        self._dispatcher = sender.Dispatcher(self._sender, self._part_sender)
         self._table: routes.RoutingTable | None = None
         self._instances = float(ASSUMED_INSTANCES)
         self._zone = zone
-        self._reach = reach.Reach()
-        self._on_doubt = on_doubt
         self._meters = measures
         self._isolated = False
 
@@ -134,9 +141,7 @@
             return
         self._table = table
         names = {route.name for route in table.routes}
-        self._timings = {
-            name: self._timings.get(name) or timing.RouteTiming() for name in names
-        }
+        self._evidence.apply_routes(table.routes)
         self._budgets.keep(set(table.groups))
         self._meters.keep(names, table.groups.keys())
         self._meters.set("configuration_version", table.version)
@@ -149,6 +154,13 @@
         self._targets.apply(now, listed)
         self._resize()
 
+    def apply_partners(
+        self, now: float, members: collections.abc.Iterable[roster.Member]
+    ) -> None:
+        """Take over the instances that ask targets in their zones."""
+        self._partners.apply(now, members)
+        self._part_sender.apply(self._partners.states, lambda _: PARTNER_CONNECTIONS)
+
     def apply_share(self, instances: float) -> None:
         """Take over among how many instances like this one the targets are shared."""
         self._instances = max(1.0, instances)
@@ -170,12 +182,12 @@
 
     def review_reach(self, now: float, store_away: bool) -> bool:
         """Return whether this instance is cut off from the other zones."""
-        self._isolated = self._reach.isolated(now, store_away)
+        self._isolated = self._evidence.reach.isolated(now, store_away)
         return self._isolated
 
     def on_store_back(self) -> None:
         """Note that the way out of the zone is open."""
-        self._reach.on_store_back()
+        self._evidence.reach.on_store_back()
         self._isolated = False
 
     def serve(self, request: CallerRequest, on_outcome: OnOutcome) -> ingress.Exchange:
@@ -189,8 +201,6 @@
             return _refuse(_NO_ROUTE, observer, on_outcome)
         observer.routed(route.name, self._table.version)
         groups = route.shards or (route.pick_group(self._random.random()),)
-        for group in groups:
-            self._budgets.group(group).on_request(now)
         if self._isolated and self._is_out_of_reach(now, route, groups):
             return _refuse(_CUT_OFF, observer, on_outcome)
 
@@ -199,55 +209,54 @@
             self._meters.finished(route.name, clock.monotonic() - now, outcome)
             on_outcome(_with_return_time(outcome))
 
+        states = self._machine(now, request, route, groups)
+        return self._run(request, states, finish, observer)
+
+    def serve_part(
+        self, request: CallerRequest, part: peer_wire.Part, on_outcome: OnOutcome
+    ) -> ingress.Exchange | None:
+        """Ask for some shards of a request for an instance of another zone.
+
+        Returns None, without calling `on_outcome`, when this instance does not number
+        the shards in the same way. Versions may differ as long as the shards do not.
+        """
+        now = clock.monotonic()
+        table = self._table
+        route = None if table is None else table.match(request.host, request.path)
+        if table is None or route is None or route.shard_set != part.shard_set:
+            return None
+        if not part.shards <= frozenset(range(len(route.shards))):
+            return None
+        observer = journal.RequestJournal(now, request.request_id)
+        observer.routed(route.name, table.version, part=True)
+
+        def finish(outcome: Outcome) -> None:
+            observer.finished(outcome)
+            on_outcome(outcome)
+
+        plan = dataclasses.replace(
+            self._plan(now, request, route, len(route.shards)),
+            shards=part.shards,
+            min_coverage=0.0,
+            early_after=now + part.answer_within,
+            early_coverage=0.0,
+        )
+        states = self._fanout(plan, route, route.shards, None)
+        return self._run(request, states, finish, observer)
+
+    def _run(
+        self,
+        request: CallerRequest,
+        states: machine.Machine,
+        finish: OnOutcome,
+        observer: journal.RequestJournal,
+    ) -> ingress.Exchange:
         running = runner.Runner(
-            self._reactor,
-            self._machine(now, request, route, groups),
-            self._sender,
-            request.forward,
-            finish,
-            observer,
+            self._reactor, states, self._dispatcher, request.forward, finish, observer
         )
         running.start()
         return running
 
-    def on_attempt_end(
-        self, now: float, attempt: model.Attempt, end: submission.End
-    ) -> None:
-        """Learn from the end of an attempt."""
-        state = self._targets.states.get(attempt.target)
-        known = self._timings.get(attempt.service)
-        route = self._route(attempt.service)
-        if state is None or known is None or route is None:
-            return
-        self._meters.attempt_ended(state.listed.group, attempt, end)
-        typical = known.typical(route)
-        if state.listed.zone != self._zone:
-            self._note_reach(now, end, typical)
-        match end:
-            case submission.Replied(latency):
-                known.add(now, latency)
-                state.on_latency(now, latency / typical)
-            case submission.Cancelled(age):
-                state.on_withdrawn(now, age / typical)
-            case model.AttemptFailure():
-                if end.kind is model.FailureKind.WRONG_TARGET:
-                    state.on_misdirected(now)
-                elif targets.is_evidence(end):
-                    state.on_failure(now)
-
-    def _note_reach(self, now: float, end: submission.End, typical: float) -> None:
-        match end:
-            case submission.Replied():
-                self._reach.on_answer(now)
-            case submission.Cancelled(age):
-                if age > UNANSWERED_RATIO * typical:
-                    self._reach.on_trouble(now)
-            case model.AttemptFailure(kind):
-                if kind in _LOST_KINDS:
-                    self._reach.on_trouble(now)
-        if self._reach.doubtful():
-            self._on_doubt()
-
     def _is_out_of_reach(
         self, now: float, route: routes.Route, groups: tuple[str, ...]
     ) -> bool:
@@ -259,11 +268,7 @@
     def close(self) -> None:
         """Close the connections to targets as they become idle."""
         self._sender.close()
-
-    def _route(self, name: str) -> routes.Route | None:
-        if self._table is None:
-            return None
-        return self._table.route(name)
+        self._part_sender.close()
 
     def _machine(
         self,
@@ -273,16 +278,48 @@
         groups: tuple[str, ...],
     ) -> machine.Machine:
         plan = self._plan(now, request, route, len(groups))
-        router = targets.GroupRouter(self._targets, groups)
-        budget = timing.RequestBudget(self._budgets, self._instances, self._group_of)
+        if route.idempotent:
+            is_worthwhile = route.shards and partners.worthwhile(route.objective)
+            nearby = self._partners if is_worthwhile else None
+            return self._fanout(plan, route, groups, nearby)
+        self._on_request(now, groups[0])
+        router = self._router(route, groups, None)
+        return single_run.SingleRun(
+            plan, router, self._budget(), merger=records.RelayMerge
+        )
+
+    def _fanout(
+        self,
+        plan: model.QueryPlan,
+        route: routes.Route,
+        groups: tuple[str, ...],
+        nearby: partners.Partners | None,
+    ) -> fanout.Fanout:
+        router = self._router(route, groups, nearby)
+        budget = self._budget()
+        hedging = timing.RouteHedging(
+            route, self._evidence.timing(route), budget, self._part_sender.knows
+        )
         merger = records.RecordMerge if route.shards else records.RelayMerge
-        if not route.idempotent:
-            return single_run.SingleRun(plan, router, budget, merger=merger)
-        known = self._timings[route.name]
-        hedging = timing.RouteHedging(route, known, budget)
         source = timing.NoOtherSnapshot()
         return fanout.Fanout(plan, router, hedging, budget, source, merger)
 
+    def _router(
+        self,
+        route: routes.Route,
+        groups: tuple[str, ...],
+        nearby: partners.Partners | None,
+    ) -> group_router.GroupRouter:
+        return group_router.GroupRouter(
+            self._targets, nearby, groups, route.max_attempts, self._on_request
+        )
+
+    def _on_request(self, now: float, group: str) -> None:
+        self._budgets.group(group).on_request(now)
+
+    def _budget(self) -> timing.RequestBudget:
+        return timing.RequestBudget(self._budgets, self._instances, self._group_of)
+
     def _plan(
         self, now: float, request: CallerRequest, route: routes.Route, shards: int
     ) -> model.QueryPlan:
@@ -292,7 +329,7 @@
         return model.QueryPlan(
             request_id=request.request_id,
             service=route.name,
-            snapshot=str(self._table.version),
+            snapshot=route.shard_set if route.shards else str(self._table.version),
             shards=frozenset(range(shards)),
             deadline=now + max(MIN_DEADLINE_SECONDS, wait - ANSWER_SECONDS),
             limit=route.limit,
--- a/jackdawpass/process/serving/pages.py
+++ b/jackdawpass/process/serving/pages.py
@@ -37,6 +37,10 @@
         on_answer(self._page())
         return ingress.Ended()
 
+    def acknowledges(self, request: ingress.IncomingRequest) -> bool:
+        """Return False: the page follows at once."""
+        return False
+
     def on_open(self, connection: ingress.CallerConnection) -> None:
         """Do nothing."""
 
--- /dev/null
+++ b/jackdawpass/process/serving/parts.py
@@ -0,0 +1,96 @@
+"""Dialect between instances for a part of a request: some of its shards."""
+
+import collections.abc
+
+from returns import result
+
+from jackdawpass.connection import dialect, ingress
+from jackdawpass.process.serving import partners, peer_wire
+from jackdawpass.request import model, records
+
+EncodeRequest = collections.abc.Callable[[bytes, float, ingress.Headers], bytes]
+
+_DECLINED = model.AttemptFailure(model.FailureKind.DECLINED, model.Execution.NOT_SENT)
+_NOT_RUN = model.AttemptFailure(model.FailureKind.SHED, model.Execution.REFUSED_NOT_RUN)
+_FAILED = model.AttemptFailure(
+    model.FailureKind.TARGET_FAILED, model.Execution.MAY_HAVE_RUN
+)
+
+
+class PartDialect:
+    """Asks an instance for shards, and takes its merged reply apart.
+
+    Parameters
+    ----------
+    encode_request : callable
+        Encodes a caller's request for another instance, given the request to forward,
+        the seconds left and headers of the instances' own.
+    """
+
+    acknowledges = True
+
+    def __init__(self, encode_request: EncodeRequest) -> None:
+        self._encode_request = encode_request
+
+    def encode_query(self, query: object) -> bytes:
+        """Return the encoded request, which is shared by all sub-requests."""
+        assert isinstance(query, bytes)
+        return query
+
+    def encode_run(
+        self, attempt: model.Attempt, remaining: float, query: bytes
+    ) -> bytes:
+        """Encode an attempt; `remaining` is in seconds."""
+        answer_by = attempt.deadline if attempt.answer_by is None else attempt.answer_by
+        within = answer_by - attempt.deadline + remaining - partners.HOP_SECONDS
+        part = peer_wire.Part(attempt.snapshot, attempt.shards, max(0.0, within))
+        return self._encode_request(query, remaining, peer_wire.encode_part(part))
+
+    def encode_cancel(self, attempt: model.Attempt) -> bytes | None:
+        """Return None: closing the connection cancels a request."""
+        return None
+
+    def belongs(self, attempt: model.Attempt, reply: dialect.HttpReply) -> bool:
+        """Return True: an instance answers once and in order."""
+        return True
+
+    def decode_run(
+        self, attempt: model.Attempt, reply: dialect.HttpReply
+    ) -> dialect.RunResult:
+        """Take a merged reply apart."""
+        if reply.header(peer_wire.NOT_TAKEN) is not None:
+            return result.Failure(_DECLINED)
+        signatures = peer_wire.decode_signatures(reply)
+        if reply.status != 200 or not signatures:
+            return result.Failure(_NOT_RUN if reply.status == 503 else _FAILED)
+        if not signatures.keys() <= attempt.shards:
+            return result.Failure(_FAILED)
+        shards = records.split_merged(signatures, reply.body)
+        return result.Success(
+            model.SubReply(
+                attempt.request_id,
+                attempt.attempt_id,
+                attempt.snapshot,
+                shards,
+                is_final=True,
+            )
+        )
+
+    def encode_health(self) -> bytes:
+        """Encode the HTTP request for an instance's state."""
+        return peer_wire.PING
+
+    def decode_health(self, reply: dialect.HttpReply) -> bool:
+        """Return whether an instance says that it takes requests."""
+        report = peer_wire.decode_report(reply)
+        return report is not None and report.state is peer_wire.State.READY
+
+
+def encode_answer(answer: model.Answer) -> ingress.OutgoingAnswer:
+    """Return the reply to an instance that asked for shards."""
+    merged = answer.results
+    assert isinstance(merged, records.TopRecords)
+    signatures = dict(zip(merged.shards, merged.signatures, strict=True))
+    return ingress.OutgoingAnswer(
+        200, peer_wire.encode_signatures(signatures), merged.records
+    )
--- a/jackdawpass/process/serving/peer_wire.py
+++ b/jackdawpass/process/serving/peer_wire.py
@@ -1,5 +1,6 @@
-"""What instances of one zone say to each other besides the callers' own requests."""
+"""What instances say to each other besides the callers' own requests."""
 
+import collections.abc
 import dataclasses
 import enum
 
@@ -13,7 +14,16 @@
 NOT_TAKEN = b"jackdawpass-not-taken"
 # Milliseconds since the request reached the instance that hands it over.
 AGE_MS = b"jackdawpass-age-ms"
-HEADERS = frozenset((VERSION, STATE, NOT_TAKEN, AGE_MS))
+# In a request the shards that are wanted of its route, in a reply those in it, each
+# with the signature of its target.
+SHARDS = b"jackdawpass-shards"
+# Names the shards of the route and their order, whichever version says so.
+SHARD_SET = b"jackdawpass-shard-set"
+# Milliseconds after which a partial reply is wanted.
+ANSWER_WITHIN_MS = b"jackdawpass-answer-within-ms"
+HEADERS = frozenset(
+    (VERSION, STATE, NOT_TAKEN, AGE_MS, SHARDS, SHARD_SET, ANSWER_WITHIN_MS)
+)
 
 PING_PATH = b"/-/ping"
 PING = b"GET " + PING_PATH + b" HTTP/1.1\r\nHost: peer\r\n\r\n"
@@ -35,6 +45,23 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Part:
+    """What an instance is asked of a request for many shards.
+
+    Attributes
+    ----------
+    shard_set : str
+        Digest of the route's shards in their order, by which they are numbered.
+    answer_within : float
+        Seconds after which a partial reply is wanted.
+    """
+
+    shard_set: str
+    shards: frozenset[int]
+    answer_within: float
+
+
 def encode_report(report: Report) -> ingress.Headers:
     """Return the headers that report an instance's state."""
     return ((VERSION, b"%d" % report.version), (STATE, report.state.value.encode()))
@@ -70,3 +97,47 @@
     """Return the headers that are meant for the caller."""
     dropped = HEADERS | ingress.CONNECTION_HEADERS | {b"content-length"}
     return tuple((name, value) for name, value in headers if name not in dropped)
+
+
+def encode_part(part: Part) -> ingress.Headers:
+    """Return the headers of a request for some shards."""
+    shards = b",".join(b"%d" % shard for shard in sorted(part.shards))
+    return (
+        (SHARD_SET, part.shard_set.encode()),
+        (SHARDS, shards),
+        (ANSWER_WITHIN_MS, b"%d" % round(part.answer_within * 1000)),
+    )
+
+
+def decode_part(request: ingress.IncomingRequest) -> Part | None:
+    """Return what a request asks of its shards; None when it asks for the whole."""
+    shards = request.header(SHARDS)
+    if shards is None:
+        return None
+    try:
+        wanted = frozenset(int(shard) for shard in shards.split(b","))
+        within = int(request.header(ANSWER_WITHIN_MS) or b"") / 1000
+    except ValueError:
+        # Shards that no route has: the request is not taken.
+        return Part("", frozenset(), 0.0)
+    shard_set = (request.header(SHARD_SET) or b"").decode("latin-1")
+    return Part(shard_set, wanted, within)
+
+
+def encode_signatures(
+    signatures: collections.abc.Mapping[int, str],
+) -> ingress.Headers:
+    """Return the header of a reply that holds the records of some shards."""
+    entries = (f"{shard}={signature}" for shard, signature in signatures.items())
+    return ((SHARDS, ",".join(entries).encode("latin-1")),)
+
+
+def decode_signatures(reply: dialect.HttpReply) -> dict[int, str]:
+    """Return the signature of each shard in a reply; empty when it has none."""
+    signatures = {}
+    for entry in (reply.header(SHARDS) or b"").decode("latin-1").split(","):
+        shard, _, signature = entry.partition("=")
+        if not shard.isdigit() or not signature:
+            return {}
+        signatures[int(shard)] = signature
+    return signatures
--- a/jackdawpass/process/serving/roster.py
+++ b/jackdawpass/process/serving/roster.py
@@ -58,14 +58,14 @@
     return tuple(local[name] for name in ranked[:count])
 
 
-def askers(members: collections.abc.Iterable[Member]) -> int:
-    """Return how many instances ask targets while all is well."""
+def askers(members: collections.abc.Iterable[Member]) -> tuple[Member, ...]:
+    """Return the instances that ask targets while all is well."""
     known = list(members)
-    total = 0
-    for zone in {member.zone for member in known}:
-        chosen = aggregators(known, zone)
-        total += len(chosen) or sum(member.zone == zone for member in known)
-    return total
+    found: list[Member] = []
+    for zone in sorted({member.zone for member in known}):
+        local = [member for member in known if member.zone == zone]
+        found += aggregators(known, zone) or local
+    return tuple(found)
 
 
 def _step(capacity: float) -> int:
--- a/jackdawpass/process/serving/sender.py
+++ b/jackdawpass/process/serving/sender.py
@@ -108,14 +108,21 @@
         Encodes sub-requests and decodes replies.
     observer : Observer
         Learns from each attempt's end.
+    linger_seconds : float
+        How long a reply that nobody waits for may take before its connection is closed.
     """
 
     def __init__(
-        self, reactor: typing.Any, wire: dialect.TargetDialect, observer: Observer
+        self,
+        reactor: typing.Any,
+        wire: dialect.TargetDialect,
+        observer: Observer,
+        linger_seconds: float = LINGER_SECONDS,
     ) -> None:
         self._reactor = reactor
         self._wire = wire
         self._observer = observer
+        self._linger_seconds = linger_seconds
         self._lanes: dict[str, _Lane] = {}
 
     def apply(
@@ -137,6 +144,10 @@
             if state.listed.leaving:
                 self._lanes[name].leave()
 
+    def knows(self, target: str) -> bool:
+        """Return whether there is a lane to a target."""
+        return target in self._lanes
+
     def submit(
         self, attempt: model.Attempt, query: bytes, listener: runner.Listener
     ) -> runner.Ticket:
@@ -160,7 +171,23 @@
             listed.host,
             listed.port,
             share,
-            LINGER_SECONDS,
+            self._linger_seconds,
             CONNECT_TIMEOUT_SECONDS,
         )
         return _Lane(state, connections, self._wire, self._observer)
+
+
+class Dispatcher:
+    """Hands attempts to the sender that knows their target."""
+
+    def __init__(self, *senders: Sender) -> None:
+        self._senders = senders
+
+    def submit(
+        self, attempt: model.Attempt, query: bytes, listener: runner.Listener
+    ) -> runner.Ticket:
+        """Send an attempt to its target."""
+        for each in self._senders:
+            if each.knows(attempt.target):
+                return each.submit(attempt, query, listener)
+        return self._senders[0].submit(attempt, query, listener)
--- a/jackdawpass/process/serving/targets.py
+++ b/jackdawpass/process/serving/targets.py
@@ -5,7 +5,7 @@
 import math
 import random
 
-from jackdawpass.request import machine, model
+from jackdawpass.request import model
 
 # Share of a new observation in the running averages of a target: about the last three
 # attempts decide, since an instance sees few of them.
@@ -171,18 +171,30 @@
 
     def has_local(self, now: float, group: str) -> bool:
         """Return whether a group has a target to use in the zone."""
+        return self.has_in_zone(now, group, self._zone)
+
+    def has_in_zone(self, now: float, group: str, zone: str) -> bool:
+        """Return whether a group has a target to use in a zone."""
         return any(
-            state.listed.zone == self._zone and state.usable(now)
+            state.listed.zone == zone and state.usable(now)
             for state in self._groups.get(group, ())
         )
 
+    def size(self, now: float, group: str) -> int:
+        """Return the number of a group's targets that may be used."""
+        return sum(state.usable(now) for state in self._groups.get(group, ()))
+
     def choose(
         self,
         now: float,
         group: str,
         excluded: collections.abc.Collection[str],
+        shunned: collections.abc.Collection[str] = (),
     ) -> TargetState | None:
-        """Return the best target of a group, or None when it has none to use."""
+        """Return the best target of a group, or None when it has none to use.
+
+        Targets in the `shunned` zones are used only when there are no others.
+        """
         candidates = [
             state
             for state in self._groups.get(group, ())
@@ -190,33 +202,15 @@
         ]
         if not candidates:
             return None
+        if shunned:
+            others = [s for s in candidates if s.listed.zone not in shunned]
+            candidates = others or candidates
         sound = [state for state in candidates if not state.avoided(now)]
         costs = [(each.cost(now, self._zone), each) for each in sound or candidates]
         least = min(cost for cost, _ in costs) + COST_NOISE
         return self._random.choice([each for cost, each in costs if cost <= least])
 
 
-class GroupRouter:
-    """Routes the shards of one request, each to a target of its group."""
-
-    def __init__(self, targets: Targets, groups: tuple[str, ...]) -> None:
-        self._targets = targets
-        self._groups = groups
-
-    def assign(
-        self, now: float, shards: frozenset[int], excluded: machine.Excluded
-    ) -> tuple[machine.Assignment, ...]:
-        """Assign each shard that a usable target holds."""
-        assignments = []
-        for shard in sorted(shards):
-            avoided = excluded.get(shard, frozenset())
-            chosen = self._targets.choose(now, self._groups[shard], avoided)
-            if chosen is not None:
-                name = chosen.listed.name
-                assignments.append(machine.Assignment(name, frozenset((shard,))))
-        return tuple(assignments)
-
-
 def is_evidence(failure: model.AttemptFailure) -> bool:
     """Return whether a failure says something of its target's health."""
     return failure.kind not in (
--- a/jackdawpass/process/serving/timing.py
+++ b/jackdawpass/process/serving/timing.py
@@ -16,6 +16,10 @@
 # suffice for the second target.
 MAX_HEDGE_SHARE = 0.38
 MIN_HEDGE_SECONDS = 0.004
+# Share of the objective after which the shards that an instance was asked for are asked
+# for directly unless it has said that it took them, which needs two crossings of 1.4 ms
+# and a turn of its event loop; from then on it hedges by itself.
+PART_HEDGE_SHARE = 0.2
 # Latency assumed before there are enough replies, as a share of the objective.
 ASSUMED_LATENCY_SHARE = 0.2
 # Time that an answer needs to the caller, with the time that the request took from it:
@@ -58,6 +62,11 @@
     return now + max(left, route.objective / 2)
 
 
+def part_hedge_after(route: routes.Route) -> float:
+    """Return the seconds after which an instance that took nothing counts as lost."""
+    return route.objective * PART_HEDGE_SHARE
+
+
 GroupOf = collections.abc.Callable[[str], str]
 
 
@@ -94,14 +103,21 @@
     """Hedges the attempts of one request by the latencies of its route."""
 
     def __init__(
-        self, route: routes.Route, timing: RouteTiming, budget: RequestBudget
+        self,
+        route: routes.Route,
+        timing: RouteTiming,
+        budget: RequestBudget,
+        is_partner: collections.abc.Callable[[str], bool],
     ) -> None:
         self._route = route
         self._timing = timing
         self._budget = budget
+        self._is_partner = is_partner
 
     def delay(self, now: float, target: str) -> float | None:
         """Return the seconds to the hedge, or None for no hedge."""
+        if self._is_partner(target):
+            return part_hedge_after(self._route)
         if not self._budget.allows_hedge(now, target):
             return None
         scarce = self._budget.scarce(now, target)
--- a/jackdawpass/process/submission.py
+++ b/jackdawpass/process/submission.py
@@ -37,9 +37,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Cancelled:
-    """The attempt was withdrawn, `age` seconds after sending; 0 when not sent."""
+    """The attempt was withdrawn.
+
+    Attributes
+    ----------
+    age : float
+        Seconds since sending; 0 when not sent.
+    is_accepted : bool
+        True when an interim reply said that it was taken.
+    """
 
     age: float
+    is_accepted: bool = False
 
 
 End = Replied | Cancelled | model.AttemptFailure
@@ -75,6 +84,7 @@
         self._connection: exchange.Exchange | None = None
         self._state = _State.QUEUED
         self._sent_at = 0.0
+        self._is_accepted = False
         self.place: waiting.Place | None = None
 
     @property
@@ -108,7 +118,7 @@
             self._pool.abandon(self._connection)
             self._connection = None
             self._tell_target()
-        self._end(Cancelled(age))
+        self._end(Cancelled(age, self._is_accepted))
 
     def _tell_target(self) -> None:
         """Ask the target to stop working, if a connection is free for it.
@@ -141,9 +151,15 @@
         self._connection = connection
         request = self._wire.encode_run(self._attempt, remaining, self._query)
         belongs = functools.partial(self._wire.belongs, self._attempt)
-        connection.send(request, self._on_done, belongs)
+        on_interim = self._on_interim if self._wire.acknowledges else None
+        connection.send(request, self._on_done, belongs, on_interim)
         self._listener.on_sent(self._attempt.attempt_id)
 
+    def _on_interim(self) -> None:
+        if not self._is_accepted:
+            self._is_accepted = True
+            self._listener.on_accepted(self._attempt.attempt_id)
+
     def _on_done(self, outcome: dialect.HttpReply | exchange.Loss) -> None:
         connection, self._connection = self._connection, None
         assert connection is not None
--- a/jackdawpass/request/fanout.py
+++ b/jackdawpass/request/fanout.py
@@ -1,6 +1,7 @@
 """State machine of one idempotent query over many shards."""
 
 import collections
+import collections.abc
 import dataclasses
 
 from jackdawpass.request import machine, merge, model, outstanding, problems, refusals
@@ -8,6 +9,9 @@
 _WRONG_SNAPSHOT = model.AttemptFailure(
     model.FailureKind.SNAPSHOT_NOT_HELD, model.Execution.MAY_HAVE_RUN
 )
+_LEFT_OUT = model.AttemptFailure(
+    model.FailureKind.TARGET_FAILED, model.Execution.MAY_HAVE_RUN
+)
 # With more than this share of a query's first attempts unanswered, none is hedged.
 MAX_UNANSWERED_SHARE = 0.5
 MIN_UNANSWERED = 4
@@ -92,6 +96,15 @@
             return ()
         return self._wake() if self._plan_hedge(now, attempt) else ()
 
+    def on_accepted(self, now: float, attempt_id: int) -> machine.Actions:
+        """Leave the hedges to who has taken the attempt, until its reply is due."""
+        attempt = self._outstanding.get(attempt_id)
+        if attempt is None or attempt.answer_by is None:
+            return ()
+        self._outstanding.drop_hedge(attempt_id)
+        self._plan_hedge(max(now, attempt.answer_by), attempt)
+        return self._wake()
+
     def on_reply(
         self, now: float, attempt_id: int, reply: model.SubReply
     ) -> machine.Actions:
@@ -107,11 +120,10 @@
             self._merge.add(shard, reply.shards[shard])
         actions = self._cancel_superseded(covered)
         omitted = attempt.shards - covered
-        if omitted:
-            failure = model.AttemptFailure(
-                model.FailureKind.TARGET_FAILED, model.Execution.MAY_HAVE_RUN
-            )
-            actions += self._recover(now, attempt.target, omitted, failure)
+        if omitted and reply.is_final:
+            self._give_up(omitted & self._merge.uncovered)
+        elif omitted:
+            actions += self._recover(now, omitted, _LEFT_OUT)
         return self._conclude(now, actions)
 
     def on_failure(
@@ -125,7 +137,7 @@
         if self._finished or attempt_id not in self._outstanding:
             return ()
         attempt = self._outstanding.pop(attempt_id)
-        actions = self._recover(now, attempt.target, attempt.shards, failure)
+        actions = self._recover(now, attempt.shards, failure)
         return self._conclude(now, actions)
 
     def on_timer(self, now: float) -> machine.Actions:
@@ -177,6 +189,7 @@
             deadline=self._plan.deadline,
             limit=self._plan.limit,
             kind=kind,
+            answer_by=self._plan.early_after,
         )
         self._next_attempt_id += 1
         self._outstanding.add(attempt)
@@ -198,10 +211,15 @@
         limit = self._plan.max_attempts
         return limit is None or self._tries[shard] < limit
 
+    def _give_up(self, shards: collections.abc.Set[int]) -> None:
+        """Note shards that no further attempt is to be sent for."""
+        self._unreachable |= {s for s in shards if not self._outstanding.carries(s)}
+        for shard in shards:
+            self._reasons[shard] = refusals.missing_reason(_LEFT_OUT)
+
     def _recover(
         self,
         now: float,
-        target: str,
         shards: frozenset[int],
         failure: model.AttemptFailure,
     ) -> machine.Actions:
--- a/jackdawpass/request/machine.py
+++ b/jackdawpass/request/machine.py
@@ -48,6 +48,9 @@
     def on_sent(self, now: float, attempt_id: int) -> Actions:
         """Note that bytes of an attempt may have been read by its target."""
 
+    def on_accepted(self, now: float, attempt_id: int) -> Actions:
+        """Note that an attempt was taken by who serves it and is being worked on."""
+
     def on_reply(self, now: float, attempt_id: int, reply: model.SubReply) -> Actions:
         """Take the reply to an attempt."""
 
--- a/jackdawpass/request/model.py
+++ b/jackdawpass/request/model.py
@@ -76,6 +76,8 @@
         Unique within the request.
     deadline : float
         Monotonic seconds.
+    answer_by : float or None
+        Monotonic time at which a partial reply is of more use than a later one.
     """
 
     attempt_id: int
@@ -88,6 +90,7 @@
     limit: int
     kind: AttemptKind
     idempotent: bool = True
+    answer_by: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,12 +110,15 @@
     ----------
     shards : mapping of int to object
         What each shard replied, in the form that the request's merge takes.
+    is_final : bool
+        True when whoever replied has already retried the shards left out.
     """
 
     request_id: str
     attempt_id: int
     snapshot: str
     shards: collections.abc.Mapping[int, typing.Any]
+    is_final: bool = False
 
 
 class FailureKind(enum.Enum):
@@ -121,6 +127,7 @@
     QUEUE_FULL = "queue_full"
     QUEUE_EXPIRED = "queue_expired"
     CONNECT_FAILED = "connect_failed"
+    DECLINED = "declined"
     CONNECTION_LOST = "connection_lost"
     TIMED_OUT = "timed_out"
     SHED = "shed"
--- a/jackdawpass/request/outstanding.py
+++ b/jackdawpass/request/outstanding.py
@@ -83,6 +83,10 @@
         self._hedge_times[attempt_id] = at
         heapq.heappush(self._hedges, (at, attempt_id))
 
+    def drop_hedge(self, attempt_id: int) -> None:
+        """Hedge an attempt no more."""
+        self._hedge_times.pop(attempt_id, None)
+
     def next_hedge(self) -> float | None:
         """Return the time of the next hedge, or None."""
         while self._hedges:
--- a/jackdawpass/request/records.py
+++ b/jackdawpass/request/records.py
@@ -19,12 +19,16 @@
         The target's signature of the reply; empty when it has none.
     headers : tuple of (bytes, bytes)
         Names in lower case with their values.
+    is_merged : bool
+        True when the body holds the greatest records of several shards, whose replies
+        came together.
     """
 
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
     signature: str
+    is_merged: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,19 +37,49 @@
 
     Attributes
     ----------
+    shards : tuple of int
+        The covered shards.
     signatures : tuple of str
-        One for each covered shard.
+        One for each of `shards`.
     records : bytes
         Records of 16 bytes, compared byte by byte; equal ones all count.
     """
 
+    shards: tuple[int, ...]
     signatures: tuple[str, ...]
     records: bytes
 
 
+def split_merged(
+    signatures: collections.abc.Mapping[int, str], body: bytes
+) -> dict[int, RawReply]:
+    """Return the replies of shards whose records came merged in one body.
+
+    The body stands with one of them; only together do they hold what was replied.
+    """
+    replies = {}
+    for shard, signature in signatures.items():
+        replies[shard] = RawReply(200, (), body, signature, is_merged=True)
+        body = b""
+    return replies
+
+
 class RecordMerge(merge.ShardReplies):
     """Merges bodies that are sequences of records."""
 
+    def add(self, shard: int, results: RawReply) -> bool:
+        """Add the reply of a shard; a merged one takes the place of an earlier one.
+
+        The records of a merged reply can't be told apart by shard, so it is taken for
+        all of its shards.
+        """
+        if not results.is_merged:
+            return super().add(shard, results)
+        was_uncovered = shard in self._uncovered
+        self._uncovered.discard(shard)
+        self._replies[shard] = results
+        return was_uncovered
+
     def top(self, limit: int) -> TopRecords:
         """Return the greatest `limit` records; a shorter remainder is no record."""
         records = (
@@ -53,7 +87,7 @@
         )
         greatest = heapq.nlargest(limit, records)
         signatures = tuple(reply.signature for reply in self._replies.values())
-        return TopRecords(signatures, b"".join(greatest))
+        return TopRecords(tuple(self._replies), signatures, b"".join(greatest))
 
 
 class RelayMerge(merge.ShardReplies):
--- a/jackdawpass/request/refusals.py
+++ b/jackdawpass/request/refusals.py
@@ -22,7 +22,10 @@
     Its retry is then no extra sub-request: the budget bounds the load on targets, and a
     lost replica or a cut zone would use it up at once.
     """
-    return failure.kind is model.FailureKind.CONNECT_FAILED
+    return failure.kind in (
+        model.FailureKind.CONNECT_FAILED,
+        model.FailureKind.DECLINED,
+    )
 
 
 def not_run(failure: model.AttemptFailure | None, attempted: bool) -> problems.Problem:
--- a/jackdawpass/request/runner.py
+++ b/jackdawpass/request/runner.py
@@ -16,6 +16,9 @@
     def on_sent(self, attempt_id: int) -> None:
         """Note that the target may have read bytes of the attempt."""
 
+    def on_accepted(self, attempt_id: int) -> None:
+        """Note that the attempt was taken and is being worked on."""
+
     def on_reply(self, attempt_id: int, reply: model.SubReply) -> None:
         """Take the target's reply."""
 
@@ -95,6 +98,10 @@
         self._trace.sent(attempt_id)
         self._perform(self._states.on_sent(clock.monotonic(), attempt_id))
 
+    def on_accepted(self, attempt_id: int) -> None:
+        """Pass on that an attempt was taken."""
+        self._perform(self._states.on_accepted(clock.monotonic(), attempt_id))
+
     def on_reply(self, attempt_id: int, reply: model.SubReply) -> None:
         """Pass on a reply."""
         self._trace.replied(attempt_id)
--- a/jackdawpass/request/single_run.py
+++ b/jackdawpass/request/single_run.py
@@ -74,6 +74,10 @@
             self._sent = True
         return ()
 
+    def on_accepted(self, now: float, attempt_id: int) -> machine.Actions:
+        """Do nothing: no second attempt is sent before the first has failed."""
+        return ()
+
     def on_reply(
         self, now: float, attempt_id: int, reply: model.SubReply
     ) -> machine.Actions:
--- a/jackdawpass/version/routes.py
+++ b/jackdawpass/version/routes.py
@@ -4,6 +4,8 @@
 import dataclasses
 import typing
 
+import xxhash
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerLimits:
@@ -78,6 +80,11 @@
     limit: int = 0
     min_coverage: float = 0.0
 
+    @property
+    def shard_set(self) -> str:
+        """Digest of the shards in their order, the same in all versions with them."""
+        return xxhash.xxh3_64_hexdigest("\n".join(self.shards).encode())
+
     def pick_group(self, draw: float) -> str:
         """Return the group for a request; `draw` is uniform in [0, 1)."""
         rest = draw * sum(part.weight for part in self.split)
--- /dev/null
+++ b/tests/connection/test_exchange.py
@@ -0,0 +1,69 @@
+"""One request on a connection, from its bytes to its reply."""
+
+import typing
+
+import pytest
+from twisted.internet.testing import StringTransport
+
+from jackdawpass.connection import dialect, exchange, ingress
+
+REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+
+class Transport(StringTransport):
+    def setTcpNoDelay(self, enabled: bool) -> None:
+        """Accept the option."""
+
+    def abortConnection(self) -> None:
+        """Accept the abort."""
+
+
+class Link:
+    """A connection, and what was heard on it."""
+
+    def __init__(self) -> None:
+        self.heard: list[str] = []
+        self.exchange = exchange.Exchange(self)
+        self.exchange.makeConnection(Transport())
+
+    def send(self) -> None:
+        self.exchange.send(b"GET", self._on_done, None, self._on_interim)
+
+    def receive(self, data: bytes) -> None:
+        self.exchange.dataReceived(data)
+
+    def on_closed(self, closed: exchange.Exchange) -> None:
+        self.heard.append("closed")
+
+    def _on_interim(self) -> None:
+        self.heard.append("interim")
+
+    def _on_done(self, outcome: dialect.HttpReply | exchange.Loss) -> None:
+        is_reply = isinstance(outcome, dialect.HttpReply)
+        self.heard.append("reply" if is_reply else "loss")
+
+
+@pytest.fixture
+def link() -> Link:
+    made = Link()
+    made.send()
+    return made
+
+
+@pytest.mark.parametrize("cut", [0, 5, len(ingress.INTERIM_ANSWER) + 9])
+def test_interim_reply_comes_before_the_reply(link: Link, cut: int) -> None:
+    """Guards against an acknowledgement that is taken for the reply or unheard."""
+    data = ingress.INTERIM_ANSWER + REPLY
+    for part in (data[:cut], data[cut:]):
+        if part:
+            link.receive(part)
+    assert link.heard == ["interim", "reply"]
+    assert link.exchange.usable(0.0)
+
+
+def test_interim_reply_of_a_dropped_exchange_is_not_heard(link: Link) -> None:
+    """Guards against an attempt that ended being taken for accepted."""
+    ended: list[typing.Any] = []
+    link.exchange.drop_reply(ended.append)
+    link.receive(ingress.INTERIM_ANSWER + REPLY)
+    assert link.heard == [] and len(ended) == 1
--- a/tests/connection/test_ingress.py
+++ b/tests/connection/test_ingress.py
@@ -32,6 +32,7 @@
     def __init__(self) -> None:
         self.caller_limits = routes.CallerLimits(100, 10, 3.0, 15.0)
         self.closing = False
+        self.acknowledged = False
         self.served: list[Served] = []
         self.open: set[ingress.CallerConnection] = set()
 
@@ -41,6 +42,9 @@
         self.served.append(Served(request, on_answer))
         return self.served[-1]
 
+    def acknowledges(self, request: ingress.IncomingRequest) -> bool:
+        return self.acknowledged
+
     def on_open(self, connection: ingress.CallerConnection) -> None:
         self.open.add(connection)
 
@@ -188,3 +192,12 @@
     caller.send(GET)
     assert caller.written.count(b"HTTP/1.1 503 Service Unavailable") == 1
     assert caller.connection.idle
+
+
+def test_taken_request_is_acknowledged_before_its_answer(caller: Caller) -> None:
+    """Guards against an instance that is asked elsewhere while it works."""
+    caller.handler.acknowledged = True
+    caller.send(GET)
+    assert caller.written == ingress.INTERIM_ANSWER
+    caller.answer(0)
+    assert caller.written.startswith(ingress.INTERIM_ANSWER + b"HTTP/1.1 200 OK")
--- a/tests/process/test_channel.py
+++ b/tests/process/test_channel.py
@@ -51,6 +51,9 @@
     def on_sent(self, attempt_id: int) -> None:
         self.events.append(("sent", attempt_id))
 
+    def on_accepted(self, attempt_id: int) -> None:
+        self.events.append(("accepted", attempt_id))
+
     def on_reply(self, attempt_id: int, reply: model.SubReply) -> None:
         self.events.append(("reply", attempt_id))
 
