--- a/jackdawpass/connection/exchange.py
+++ b/jackdawpass/connection/exchange.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import enum
+import functools
 import re
 import socket
 import typing
@@ -255,9 +256,8 @@
         return self._belongs is None or self._belongs(self._reply())
 
     def _note_idle_timeout(self, reply: dialect.HttpReply) -> None:
-        found = _KEEP_ALIVE_TIMEOUT.search(reply.header(b"keep-alive") or b"")
-        if found is not None:
-            usable = max(0.0, int(found[1]) - IDLE_MARGIN_SECONDS)
+        usable = _idle_seconds(reply.header(b"keep-alive") or b"")
+        if usable is not None:
             self._expires_at = clock.monotonic() + usable
 
     def _reset(self) -> None:
@@ -286,6 +286,16 @@
             self.transport.abortConnection()  # type: ignore[attr-defined]
 
 
+@functools.lru_cache(maxsize=64)
+def _idle_seconds(keep_alive: bytes) -> float | None:
+    """Return how long a connection may be idle, as its peer says; None if it does not.
+
+    Targets repeat the same few values in every reply.
+    """
+    found = _KEEP_ALIVE_TIMEOUT.search(keep_alive)
+    return None if found is None else max(0.0, int(found[1]) - IDLE_MARGIN_SECONDS)
+
+
 def _is_clean(reason: failure.Failure | None) -> bool:
     """Return whether the peer ended the connection after all of its bytes."""
     return reason is not None and reason.check(error.ConnectionDone) is not None
--- a/jackdawpass/process/serving/meters.py
+++ b/jackdawpass/process/serving/meters.py
@@ -21,8 +21,8 @@
 
     def __init__(self) -> None:
         self._registry = prometheus_client.CollectorRegistry()
-        # Labels in use, by metric; the first one is the route or group.
-        self._used: dict[typing.Any, set[tuple[str, ...]]] = {}
+        # Series in use by metric and labels; the first label is the route or group.
+        self._used: dict[typing.Any, dict[tuple[str, ...], typing.Any]] = {}
         self._requests = self._counter(
             "requests", "Requests by route and outcome", "route", "outcome"
         )
@@ -95,14 +95,17 @@
         return prometheus_client.generate_latest(self._registry)
 
     def _series(self, metric: typing.Any, *labels: str) -> typing.Any:
-        self._used.setdefault(metric, set()).add(labels)
-        return metric.labels(*labels)
+        used = self._used.setdefault(metric, {})
+        series = used.get(labels)
+        if series is None:
+            series = used[labels] = metric.labels(*labels)
+        return series
 
     def _drop(self, metric: typing.Any, kept: collections.abc.Set[str]) -> None:
-        used = self._used.get(metric, set())
+        used = self._used.get(metric, {})
         for labels in [labels for labels in used if labels[0] not in kept]:
             metric.remove(*labels)
-            used.discard(labels)
+            del used[labels]
 
     def _counter(self, name: str, text: str, *labels: str) -> typing.Any:
         return prometheus_client.Counter(
--- a/jackdawpass/process/serving/repeats.py
+++ b/jackdawpass/process/serving/repeats.py
@@ -65,10 +65,15 @@
         allowance = self._allowance(now, instances)
         return max(0.0, self.left(now, instances) / allowance) if allowance else 0.0
 
-    def allows_hedge(self, now: float, instances: float) -> bool:
-        """Return whether a hedge leaves enough for retries, one at least."""
-        kept = max(1.0, RETRY_RESERVE_SHARE * self._allowance(now, instances))
-        return self.left(now, instances) >= kept + 1
+    def hedge_share(self, now: float, instances: float) -> float:
+        """Return the unused part of the allowance, from 0 to 1.
+
+        It is 0 while a hedge would not leave enough for retries, one at least.
+        """
+        allowance = self._allowance(now, instances)
+        left = allowance - self._repeats.count(now)
+        kept = max(1.0, RETRY_RESERVE_SHARE * allowance)
+        return left / allowance if left >= kept + 1 else 0.0
 
     def try_spend(self, now: float, instances: float) -> bool:
         """Count a repeat if one may be sent; False otherwise."""
--- a/jackdawpass/process/serving/timing.py
+++ b/jackdawpass/process/serving/timing.py
@@ -10,7 +10,8 @@
 # Percentile of a route's recent latencies after which an attempt is hedged: measured,
 # an earlier hedge gains more than the extra load costs while the budget lasts.
 HEDGE_PERCENTILE = 88.0
-# While less than half of the budget is left, only the slowest attempts are hedged.
+# While less than this part of the budget is left, only the slowest attempts are hedged.
+SCARCE_SHARE = 0.5
 SCARCE_HEDGE_PERCENTILE = 96.0
 # Share of the objective by which an attempt is hedged at the latest; what is left must
 # suffice for the second target.
@@ -88,15 +89,10 @@
         budget = self._budgets.group(self._group_of(target))
         return budget.try_spend(now, self._instances)
 
-    def scarce(self, now: float, target: str) -> bool:
-        """Return whether less than half of the budget of a target's group is left."""
+    def hedge_share(self, now: float, target: str) -> float:
+        """Return the unused part of a group's budget, 0 if it allows no hedge."""
         budget = self._budgets.group(self._group_of(target))
-        return budget.share_left(now, self._instances) < 0.5
-
-    def allows_hedge(self, now: float, target: str) -> bool:
-        """Return whether a hedge leaves enough of the budget for retries."""
-        budget = self._budgets.group(self._group_of(target))
-        return budget.allows_hedge(now, self._instances)
+        return budget.hedge_share(now, self._instances)
 
 
 class RouteHedging:
@@ -113,15 +109,20 @@
         self._timing = timing
         self._budget = budget
         self._is_partner = is_partner
+        # The latencies of one moment do for all shards of a request.
+        self._delays: dict[bool, float] = {}
 
     def delay(self, now: float, target: str) -> float | None:
         """Return the seconds to the hedge, or None for no hedge."""
         if self._is_partner(target):
             return part_hedge_after(self._route)
-        if not self._budget.allows_hedge(now, target):
+        share = self._budget.hedge_share(now, target)
+        if share <= 0:
             return None
-        scarce = self._budget.scarce(now, target)
-        return self._timing.hedge_after(self._route, scarce)
+        is_scarce = share < SCARCE_SHARE
+        if is_scarce not in self._delays:
+            self._delays[is_scarce] = self._timing.hedge_after(self._route, is_scarce)
+        return self._delays[is_scarce]
 
 
 class NoOtherSnapshot:
