Pass over aggregators that the store turns away

The instance that took the request was in touch; nothing told it that its aggregator was not.

Change: an aggregator that the store does not answer reports `stale`. It is passed over for one that is ready, if need be in another zone, to which links exist only while none of the own zone is ready. When all are stale and the store answers this instance alone, it follows the store itself. A request that finds no aggregator waits for one or for the own list, whichever comes first. The reports between instances of zones also got their field's names: peers and subqueries.

--- a/jackdawpass/bench/load.py
+++ b/jackdawpass/bench/load.py
@@ -55,7 +55,7 @@
     latencies_ms : list of float
         From the intended start to the end.
     outcomes : list of str
-        ``answer``, the outcome of a problem document, or ``broken``.
+        ``answer``, outcome and kind of a problem document, or ``broken``.
     covered, shards : list of int
         Coverage of the answer; 0 without one.
     lags_ms : list of float
@@ -89,6 +89,7 @@
 
 class _Reply(msgspec.Struct):
     outcome: str = "answer"
+    kind: str = ""
     coverage: _Coverage | None = None
 
 
@@ -163,7 +164,7 @@
         coverage = reply.coverage or _Coverage(0, 0)
         self._record.starts.append(self._arrivals[number])
         self._record.latencies_ms.append(self._age_ms(number))
-        self._record.outcomes.append(reply.outcome)
+        self._record.outcomes.append(f"{reply.outcome} {reply.kind}".rstrip())
         self._record.covered.append(coverage.covered)
         self._record.shards.append(coverage.shards)
         self._record.lags_ms.append(self._lags_ms.pop(number))
--- a/jackdawpass/process/serving/delegation.py
+++ b/jackdawpass/process/serving/delegation.py
@@ -1,7 +1,8 @@
-"""Hands callers' requests whole to the aggregators of the zone."""
+"""Hands callers' requests whole to aggregators, first to those of the zone."""
 
 import collections.abc
 import functools
+import math
 import random
 import typing
 
@@ -20,6 +21,12 @@
 # A tick that comes so late says that this instance stood still, not the aggregator.
 STALL_SECONDS = 0.25
 CONNECT_TIMEOUT_SECONDS = 0.2
+# How long aggregators that are stale are trusted before this instance looks itself: a
+# change has three seconds or more to be in force.
+STALE_SECONDS = 0.4
+# How long aggregators of other zones are asked for their state after the zone's own
+# ones were last out of reach: the questions cross zones, where bytes are priced.
+SUBSTITUTE_SECONDS = 5.0
 # Requests that one instance hands to one aggregator at once.
 MAX_CONNECTIONS = 24
 # Time before the caller's deadline at which a lost hand-over is answered.
@@ -28,6 +35,7 @@
 Encode = collections.abc.Callable[[float, int], bytes]
 Fallback = collections.abc.Callable[[], ingress.Exchange]
 
+_ORDER = tuple(peer_wire.State)
 _LOST = ingress.OutgoingAnswer(
     502, (), b"the instance that asked the targets was lost; check before repeating"
 )
@@ -258,6 +266,11 @@
         self._reactor = reactor
         self._random = generator
         self._links: dict[str, Link] = {}
+        self._own: dict[str, roster.Member] = {}
+        # Aggregators of other zones, with links only while the own ones do not do.
+        self._substitutes: dict[str, roster.Member] = {}
+        self._needed_until = -math.inf
+        self._fresh_at = clock.monotonic()
         self._version = 0
 
     @property
@@ -267,7 +280,13 @@
 
     @property
     def ready(self) -> bool:
-        """True while an aggregator can be handed requests."""
+        """True while an aggregator can be handed requests, if only a stale one."""
+        states = {link.report.state for link in self._links.values()}
+        return bool(states & {peer_wire.State.READY, peer_wire.State.STALE})
+
+    @property
+    def fresh(self) -> bool:
+        """True while an aggregator hears of changes."""
         return any(
             link.report.state is peer_wire.State.READY for link in self._links.values()
         )
@@ -277,9 +296,37 @@
         """True while an aggregator answers, if only for its own zone."""
         return self.pick(()) is not None
 
-    def apply(self, members: collections.abc.Iterable[roster.Member]) -> None:
-        """Take over the zone's aggregators, without this instance."""
-        wanted = {member.name: member for member in members}
+    def behind(self, now: float) -> bool:
+        """Return whether all that answer have been stale for long."""
+        is_late = now >= self._fresh_at + STALE_SECONDS
+        return self.ready and not self.fresh and is_late
+
+    def apply(
+        self,
+        members: collections.abc.Iterable[roster.Member],
+        substitutes: collections.abc.Iterable[roster.Member] = (),
+    ) -> None:
+        """Take over the zone's aggregators and those of other zones."""
+        self._own = {member.name: member for member in members}
+        self._substitutes = {member.name: member for member in substitutes}
+        self._link(self._own | self._needed_substitutes(clock.monotonic()))
+
+    def review(self, now: float) -> None:
+        """Ask aggregators of other zones while none of the own zone is ready."""
+        if self.fresh:
+            self._fresh_at = now
+        if not any(self._is_ready(name) for name in self._own):
+            self._needed_until = now + SUBSTITUTE_SECONDS
+        self._link(self._own | self._needed_substitutes(now))
+
+    def _needed_substitutes(self, now: float) -> dict[str, roster.Member]:
+        return self._substitutes if now < self._needed_until else {}
+
+    def _is_ready(self, name: str) -> bool:
+        link = self._links.get(name)
+        return link is not None and link.report.state is peer_wire.State.READY
+
+    def _link(self, wanted: dict[str, roster.Member]) -> None:
         for name in list(self._links):
             if self._links[name].member != wanted.get(name):
                 self._links.pop(name).stop()
@@ -299,18 +346,19 @@
             for name, link in self._links.items()
             if name not in tried and link.report.state is not peer_wire.State.UNREADY
         ]
-        best = [
-            link
-            for link in usable
-            if link.report.state is peer_wire.State.READY
-            and link.report.version >= self._version
-        ]
-        chosen = best or usable
-        if not chosen:
+        if not usable:
             return None
+        best = min(self._rank(link) for link in usable)
+        chosen = [link for link in usable if self._rank(link) == best]
         least = min(len(link.handed) for link in chosen)
         return self._random.choice([x for x in chosen if len(x.handed) == least])
 
+    def _rank(self, link: Link) -> tuple[bool, int, bool]:
+        """Return the order in which aggregators are tried, the first ones least."""
+        report = link.report
+        is_older = report.version < self._version
+        return is_older, _ORDER.index(report.state), link.member.name not in self._own
+
     def hand_over(
         self,
         encode: Encode,
--- a/jackdawpass/process/serving/desk.py
+++ b/jackdawpass/process/serving/desk.py
@@ -6,8 +6,9 @@
 
 from returns import result
 
+from jackdawpass import clock
 from jackdawpass.connection import ingress
-from jackdawpass.process.serving import delegation, gateway, parts, peer_wire
+from jackdawpass.process.serving import delegation, gateway, peer_wire, subqueries
 from jackdawpass.request import model
 from jackdawpass.version import routes
 
@@ -62,6 +63,10 @@
     def isolated(self) -> bool:
         """True while cut off from the other zones."""
 
+    @property
+    def stale(self) -> bool:
+        """True while the platform's store does not answer."""
+
     def need_targets(self) -> None:
         """Follow configuration and targets for a while."""
 
@@ -161,25 +166,39 @@
             on_answer(ingress.OutgoingAnswer(decoded.failure(), (), b""))
             return ingress.Ended()
         known = decoded.unwrap()
-        if self._part.asks_targets:
+        if self._part.asks_targets or self._knows_more():
             return self._serve(known, on_answer)
-        return self._delegation.hand_over(
-            lambda patience, version: self._wire.encode_hand_over(
-                known.forward,
-                patience,
-                peer_wire.encode_request(
-                    known.patience - patience + HOP_SECONDS, version
-                ),
-            ),
-            known.patience,
-            on_answer,
-            lambda: self._serve_alone(known, on_answer),
+        deadline = clock.monotonic() + known.patience
+        return self._hand_over(
+            known, deadline, on_answer, lambda: self._wait(known, deadline, on_answer)
         )
 
+    def _hand_over(
+        self,
+        request: gateway.CallerRequest,
+        deadline: float,
+        on_answer: ingress.OnAnswer,
+        fallback: delegation.Fallback,
+    ) -> ingress.Exchange:
+        def encode(patience: float, version: int) -> bytes:
+            age = request.patience - patience + HOP_SECONDS
+            extra = peer_wire.encode_request(age, version)
+            return self._wire.encode_hand_over(request.forward, patience, extra)
+
+        patience = max(0.0, deadline - clock.monotonic())
+        return self._delegation.hand_over(encode, patience, on_answer, fallback)
+
     def acknowledges(self, request: ingress.IncomingRequest) -> bool:
         """Return False: callers get one answer."""
         return False
 
+    def _knows_more(self) -> bool:
+        """Return whether this instance hears of changes and no aggregator does."""
+        if self._delegation.fresh or self._part.stale or not self._part.own_ready:
+            return False
+        table = self._gateway.table
+        return table is not None and table.version >= self._delegation.version
+
     def _serve(
         self, request: gateway.CallerRequest, on_answer: ingress.OnAnswer
     ) -> ingress.Exchange:
@@ -188,22 +207,42 @@
 
         return self._gateway.serve(request, on_outcome)
 
-    def _serve_alone(
-        self, request: gateway.CallerRequest, on_answer: ingress.OnAnswer
+    def _wait(
+        self,
+        request: gateway.CallerRequest,
+        deadline: float,
+        on_answer: ingress.OnAnswer,
     ) -> ingress.Exchange:
-        """Serve a request that no aggregator takes."""
+        """Wait for an aggregator, or until this instance knows the targets."""
         self._part.need_targets()
 
         def serve() -> ingress.Exchange:
-            table = self._gateway.table
-            version = 0 if table is None else table.version
-            if not self._part.own_ready or version < self._delegation.version:
-                on_answer(self._wire.encode_outcome(gateway.NO_CONFIGURATION))
-                return ingress.Ended()
-            self._delegation.on_version(version)
-            return self._serve(request, on_answer)
+            if self._part.own_ready:
+                return self._serve_alone(request, on_answer)
+            return self._hand_over(
+                request, deadline, on_answer, lambda: self._refuse(on_answer)
+            )
+
+        return _Waiting(
+            self._reactor,
+            lambda: self._part.own_ready or self._delegation.reachable,
+            serve,
+        )
+
+    def _serve_alone(
+        self, request: gateway.CallerRequest, on_answer: ingress.OnAnswer
+    ) -> ingress.Exchange:
+        """Serve a request that no aggregator takes."""
+        table = self._gateway.table
+        version = 0 if table is None else table.version
+        if version < self._delegation.version:
+            return self._refuse(on_answer)
+        self._delegation.on_version(version)
+        return self._serve(request, on_answer)
 
-        return _Waiting(self._reactor, lambda: self._part.own_ready, serve)
+    def _refuse(self, on_answer: ingress.OnAnswer) -> ingress.Exchange:
+        on_answer(self._wire.encode_outcome(gateway.NO_CONFIGURATION))
+        return ingress.Ended()
 
 
 class PeerDesk:
@@ -243,6 +282,8 @@
             state = peer_wire.State.UNREADY
         elif self._part.isolated:
             state = peer_wire.State.ISOLATED
+        elif self._part.stale:
+            state = peer_wire.State.STALE
         return peer_wire.Report(state, version)
 
     def on_open(self, connection: ingress.CallerConnection) -> None:
@@ -262,9 +303,9 @@
         decoded = self._wire.decode_request(request)
         if isinstance(decoded, result.Failure) or not self._takes(request):
             return self._decline(on_answer)
-        part = peer_wire.decode_part(request)
-        if part is not None:
-            return self._serve_part(decoded.unwrap(), part, on_answer)
+        subquery = peer_wire.decode_subquery(request)
+        if subquery is not None:
+            return self._serve_subquery(decoded.unwrap(), subquery, on_answer)
 
         def on_outcome(outcome: gateway.Outcome) -> None:
             on_answer(self._with_report(self._wire.encode_outcome(outcome)))
@@ -276,20 +317,20 @@
         """Return whether a request is for some shards: its sender may ask elsewhere."""
         return request.header(peer_wire.SHARDS) is not None
 
-    def _serve_part(
+    def _serve_subquery(
         self,
         request: gateway.CallerRequest,
-        part: peer_wire.Part,
+        subquery: peer_wire.Subquery,
         on_answer: ingress.OnAnswer,
     ) -> ingress.Exchange:
         def on_outcome(outcome: gateway.Outcome) -> None:
             if isinstance(outcome, model.Answer):
-                on_answer(self._with_report(parts.encode_answer(outcome)))
+                on_answer(self._with_report(subqueries.encode_answer(outcome)))
             else:
                 on_answer(self._with_report(self._wire.encode_outcome(outcome)))
 
         if not self._part.stopping:
-            serving = self._gateway.serve_part(request, part, on_outcome)
+            serving = self._gateway.serve_subquery(request, subquery, on_outcome)
             if serving is not None:
                 return serving
         return self._decline(on_answer)
--- a/jackdawpass/process/serving/evidence.py
+++ b/jackdawpass/process/serving/evidence.py
@@ -3,7 +3,7 @@
 import collections.abc
 
 from jackdawpass.process import submission
-from jackdawpass.process.serving import meters, partners, reach, targets, timing
+from jackdawpass.process.serving import meters, peers, reach, targets, timing
 from jackdawpass.request import model
 from jackdawpass.version import routes
 
@@ -25,7 +25,7 @@
         Availability zone of this instance.
     known : Targets
         The listed targets.
-    nearby : Partners
+    nearby : Peers
         Instances of other zones.
     on_doubt : callable
         Called when targets of other zones seem to be out of reach.
@@ -37,19 +37,19 @@
         self,
         zone: str,
         known: targets.Targets,
-        nearby: partners.Partners,
+        nearby: peers.Peers,
         on_doubt: collections.abc.Callable[[], None],
         measures: meters.Meters,
     ) -> None:
         self._zone = zone
         self._targets = known
-        self._partners = nearby
+        self._peers = nearby
         self._on_doubt = on_doubt
         self._meters = measures
         self._reach = reach.Reach()
         self._routes: dict[str, routes.Route] = {}
         self._timings: dict[str, timing.RouteTiming] = {}
-        self._part_timings: dict[str, timing.RouteTiming] = {}
+        self._subquery_timings: dict[str, timing.RouteTiming] = {}
 
     @property
     def reach(self) -> reach.Reach:
@@ -60,7 +60,7 @@
         """Take over the routes; what was learned of those that stay is kept."""
         self._routes = {route.name: route for route in all_routes}
         self._timings = _kept(self._timings, self._routes)
-        self._part_timings = _kept(self._part_timings, self._routes)
+        self._subquery_timings = _kept(self._subquery_timings, self._routes)
 
     def timing(self, route: routes.Route) -> timing.RouteTiming:
         """Return the latencies of a route's sub-requests."""
@@ -73,8 +73,8 @@
         route = self._routes.get(attempt.service)
         if route is None:
             return
-        if self._partners.zone_of(attempt.target) is not None:
-            self._on_part_end(now, attempt, end, route)
+        if self._peers.zone_of(attempt.target) is not None:
+            self._on_subquery_end(now, attempt, end, route)
             return
         state = self._targets.states.get(attempt.target)
         if state is not None:
@@ -104,29 +104,29 @@
                 elif targets.is_evidence(end):
                     state.on_failure(now)
 
-    def _on_part_end(
+    def _on_subquery_end(
         self,
         now: float,
         attempt: model.Attempt,
         end: submission.End,
         route: routes.Route,
     ) -> None:
-        self._meters.part_ended(route.name, end)
-        unanswered = timing.part_hedge_after(route)
+        self._meters.subquery_ended(route.name, end)
+        unanswered = timing.subquery_hedge_after(route)
         self._note_reach(now, end, unanswered)
         match end:
             case submission.Replied(latency):
-                known = self._part_timings[route.name]
+                known = self._subquery_timings[route.name]
                 ratio = latency / known.typical(route)
                 known.add(now, latency)
-                self._partners.on_answer(now, attempt.target, ratio)
+                self._peers.on_answer(now, attempt.target, ratio)
             case submission.Cancelled(age, is_accepted):
                 if age >= unanswered and not is_accepted:
-                    self._partners.on_trouble(now, attempt.target)
+                    self._peers.on_trouble(now, attempt.target)
             case model.AttemptFailure(model.FailureKind.DECLINED):
-                self._partners.on_declined(now, attempt.target)
+                self._peers.on_declined(now, attempt.target)
             case model.AttemptFailure():
-                self._partners.on_trouble(now, attempt.target)
+                self._peers.on_trouble(now, attempt.target)
 
     def _note_reach(self, now: float, end: submission.End, unanswered: float) -> None:
         match end:
--- a/jackdawpass/process/serving/front.py
+++ b/jackdawpass/process/serving/front.py
@@ -14,11 +14,13 @@
     desk,
     gateway,
     meters,
+    own_look,
     pages,
-    parts,
+    pulse,
     roster,
     settings,
     shutdown,
+    subqueries,
     targets,
     view,
 )
@@ -78,7 +80,7 @@
             reactor,
             options.zone,
             adapter.wire,
-            parts.PartDialect(adapter.encode_hand_over),
+            subqueries.SubqueryDialect(adapter.encode_hand_over),
             options.repeats,
             generator,
             self._on_doubt,
@@ -92,6 +94,7 @@
         self._census = census.Census(
             reactor, adapter.store, self._me(), self._on_members
         )
+        self._own_look = own_look.OwnLook(self._make_pulse)
         self._view: view.View | None = None
         self._needed_at = clock.monotonic()
         self._asks_targets = False
@@ -136,6 +139,11 @@
         """True while cut off from the other zones."""
         return self._isolated
 
+    @property
+    def stale(self) -> bool:
+        """True while the platform's store does not answer."""
+        return self._view is not None and self._view.away
+
     @property
     def stopped(self) -> defer.Deferred[None]:
         """Fires when the instance has stopped."""
@@ -216,14 +224,26 @@
             options.capacity,
         )
 
+    def _make_pulse(self) -> pulse.Pulse:
+        return pulse.Pulse(
+            self._reactor,
+            self._adapter.store,
+            self._options.instance,
+            lambda: None,
+            self._random,
+        )
+
     def _on_members(self, members: tuple[roster.Member, ...]) -> None:
         chosen = roster.aggregators(members, self._options.zone)
         me = self._options.instance
         self._asks_targets = not chosen or any(each.name == me for each in chosen)
-        others = () if self._asks_targets else chosen
-        self._delegation.apply(others)
         asking = roster.askers(members)
-        self._gateway.apply_partners(clock.monotonic(), asking)
+        if self._asks_targets:
+            self._delegation.apply(())
+        else:
+            away = [each for each in asking if each.zone != self._options.zone]
+            self._delegation.apply(chosen, away)
+        self._gateway.apply_peers(clock.monotonic(), asking)
         askers = len(asking)
         if askers == len(members):
             self._gateway.apply_share(askers)
@@ -258,6 +278,7 @@
         log = logs.current()
         if log is not None:
             log.tick(now)
+        self._delegation.review(now)
         self._review_need(now)
         self._review_reach(now)
         self._review_stop(now)
@@ -265,7 +286,10 @@
     def _review_need(self, now: float) -> None:
         if self._asks_targets:
             self.need_targets()
-        elif self._census.members and not self._delegation.reachable:
+        elif self._census.members and (
+            self._own_look.review(now, self._delegation.behind(now))
+            or not self._delegation.reachable
+        ):
             self.need_targets()
         elif self._view is not None and now - self._needed_at > KEEP_SECONDS:
             self._view.stop()
@@ -274,8 +298,7 @@
             _logger.info("targets_no_longer_followed")
 
     def _review_reach(self, now: float) -> None:
-        away = self._view is not None and self._view.away
-        isolated = self._gateway.review_reach(now, away)
+        isolated = self._gateway.review_reach(now, self.stale)
         if isolated != self._isolated:
             self._isolated = isolated
             _logger.info("isolated" if isolated else "reaches_other_zones")
@@ -324,8 +347,7 @@
 
     def _metrics_page(self) -> ingress.OutgoingAnswer:
         self._gateway.measure(clock.monotonic())
-        away = self._view is not None and self._view.away
-        self._meters.set("store_away", away)
+        self._meters.set("store_away", self.stale)
         self._meters.set("isolated", self._isolated)
         self._meters.set("asks_targets", self._asks_targets)
         self._meters.set("caller_connections", len(self._callers.connections))
--- a/jackdawpass/process/serving/gateway.py
+++ b/jackdawpass/process/serving/gateway.py
@@ -14,8 +14,8 @@
     group_router,
     journal,
     meters,
-    partners,
     peer_wire,
+    peers,
     repeats,
     roster,
     sender,
@@ -45,7 +45,7 @@
 # Time in which the load balancer takes a cut-off instance out of rotation.
 CUT_OFF_RETRY_SECONDS = 1.0
 # Requests that this instance hands to one of another zone at once.
-PARTNER_CONNECTIONS = 16
+PEER_CONNECTIONS = 16
 
 Outcome = model.Answer | problems.Problem
 OnOutcome = collections.abc.Callable[[Outcome], None]
@@ -88,7 +88,7 @@
         Availability zone of this instance.
     wire : TargetDialect
         Dialect of the targets.
-    part_wire : TargetDialect
+    subquery_wire : TargetDialect
         Dialect of the instances of other zones that are asked for shards.
     limits : RepeatLimits
         Limits of repeats for all instances together.
@@ -105,7 +105,7 @@
         reactor: typing.Any,
         zone: str,
         wire: dialect.TargetDialect,
-        part_wire: dialect.TargetDialect,
+        subquery_wire: dialect.TargetDialect,
         limits: repeats.RepeatLimits,
         generator: random.Random,
         on_doubt: collections.abc.Callable[[], None],
@@ -114,16 +114,16 @@
         self._reactor = reactor
         self._random = generator
         self._targets = targets.Targets(zone, generator)
-        self._partners = partners.Partners(zone, generator)
+        self._peers = peers.Peers(zone, generator)
         self._budgets = repeats.Budgets(limits)
         self._evidence = evidence.Evidence(
-            zone, self._targets, self._partners, on_doubt, measures
+            zone, self._targets, self._peers, on_doubt, measures
         )
         self._sender = sender.Sender(reactor, wire, self._evidence)
-        self._part_sender = sender.Sender(
-            reactor, part_wire, self._evidence, linger_seconds=0.0
+        self._subquery_sender = sender.Sender(
+            reactor, subquery_wire, self._evidence, linger_seconds=0.0
         )
-        self._dispatcher = sender.Dispatcher(self._sender, self._part_sender)
+        self._dispatcher = sender.Dispatcher(self._sender, self._subquery_sender)
         self._table: routes.RoutingTable | None = None
         self._instances = float(ASSUMED_INSTANCES)
         self._zone = zone
@@ -154,12 +154,12 @@
         self._targets.apply(now, listed)
         self._resize()
 
-    def apply_partners(
+    def apply_peers(
         self, now: float, members: collections.abc.Iterable[roster.Member]
     ) -> None:
         """Take over the instances that ask targets in their zones."""
-        self._partners.apply(now, members)
-        self._part_sender.apply(self._partners.states, lambda _: PARTNER_CONNECTIONS)
+        self._peers.apply(now, members)
+        self._subquery_sender.apply(self._peers.states, lambda _: PEER_CONNECTIONS)
 
     def apply_share(self, instances: float) -> None:
         """Take over among how many instances like this one the targets are shared."""
@@ -212,8 +212,11 @@
         states = self._machine(now, request, route, groups)
         return self._run(request, states, finish, observer)
 
-    def serve_part(
-        self, request: CallerRequest, part: peer_wire.Part, on_outcome: OnOutcome
+    def serve_subquery(
+        self,
+        request: CallerRequest,
+        subquery: peer_wire.Subquery,
+        on_outcome: OnOutcome,
     ) -> ingress.Exchange | None:
         """Ask for some shards of a request for an instance of another zone.
 
@@ -223,12 +226,12 @@
         now = clock.monotonic()
         table = self._table
         route = None if table is None else table.match(request.host, request.path)
-        if table is None or route is None or route.shard_set != part.shard_set:
+        if table is None or route is None or route.shard_set != subquery.shard_set:
             return None
-        if not part.shards <= frozenset(range(len(route.shards))):
+        if not subquery.shards <= frozenset(range(len(route.shards))):
             return None
         observer = journal.RequestJournal(now, request.request_id)
-        observer.routed(route.name, table.version, part=True)
+        observer.routed(route.name, table.version, subquery=True)
 
         def finish(outcome: Outcome) -> None:
             observer.finished(outcome)
@@ -236,9 +239,9 @@
 
         plan = dataclasses.replace(
             self._plan(now, request, route, len(route.shards)),
-            shards=part.shards,
+            shards=subquery.shards,
             min_coverage=0.0,
-            early_after=now + part.answer_within,
+            early_after=now + subquery.answer_within,
             early_coverage=0.0,
         )
         states = self._fanout(plan, route, route.shards, None)
@@ -268,7 +271,7 @@
     def close(self) -> None:
         """Close the connections to targets as they become idle."""
         self._sender.close()
-        self._part_sender.close()
+        self._subquery_sender.close()
 
     def _machine(
         self,
@@ -279,8 +282,8 @@
     ) -> machine.Machine:
         plan = self._plan(now, request, route, len(groups))
         if route.idempotent:
-            is_worthwhile = route.shards and partners.worthwhile(route.objective)
-            nearby = self._partners if is_worthwhile else None
+            is_worthwhile = route.shards and peers.worthwhile(route.objective)
+            nearby = self._peers if is_worthwhile else None
             return self._fanout(plan, route, groups, nearby)
         self._on_request(now, groups[0])
         router = self._router(route, groups, None)
@@ -293,12 +296,12 @@
         plan: model.QueryPlan,
         route: routes.Route,
         groups: tuple[str, ...],
-        nearby: partners.Partners | None,
+        nearby: peers.Peers | None,
     ) -> fanout.Fanout:
         router = self._router(route, groups, nearby)
         budget = self._budget()
         hedging = timing.RouteHedging(
-            route, self._evidence.timing(route), budget, self._part_sender.knows
+            route, self._evidence.timing(route), budget, self._subquery_sender.knows
         )
         merger = records.RecordMerge if route.shards else records.RelayMerge
         source = timing.NoOtherSnapshot()
@@ -308,7 +311,7 @@
         self,
         route: routes.Route,
         groups: tuple[str, ...],
-        nearby: partners.Partners | None,
+        nearby: peers.Peers | None,
     ) -> group_router.GroupRouter:
         return group_router.GroupRouter(
             self._targets, nearby, groups, route.max_attempts, self._on_request
--- a/jackdawpass/process/serving/group_router.py
+++ b/jackdawpass/process/serving/group_router.py
@@ -2,7 +2,7 @@
 
 import collections.abc
 
-from jackdawpass.process.serving import partners, targets
+from jackdawpass.process.serving import peers, targets
 from jackdawpass.request import machine
 
 OnRequest = collections.abc.Callable[[float, str], None]
@@ -18,7 +18,7 @@
     ----------
     known : Targets
         The listed targets.
-    nearby : Partners or None
+    nearby : Peers or None
         Instances of other zones; None when targets alone are to be asked.
     groups : tuple of str
         Group of each shard.
@@ -32,13 +32,13 @@
     def __init__(
         self,
         known: targets.Targets,
-        nearby: partners.Partners | None,
+        nearby: peers.Peers | None,
         groups: tuple[str, ...],
         max_attempts: int,
         on_request: OnRequest,
     ) -> None:
         self._targets = known
-        self._partners = nearby
+        self._peers = nearby
         self._groups = groups
         self._max_attempts = max_attempts
         self._on_request = on_request
@@ -68,21 +68,21 @@
     def _hand_over(
         self, now: float, shards: frozenset[int]
     ) -> tuple[machine.Assignment, ...]:
-        if self._partners is None:
+        if self._peers is None:
             return ()
         away = [s for s in shards if self._may_hand_over(now, self._groups[s])]
-        if len(away) < partners.MIN_SHARDS:
+        if len(away) < peers.MIN_SHARDS:
             return ()
         found: dict[str, frozenset[int]] = {
             zone: frozenset(
                 s for s in away if self._targets.has_in_zone(now, self._groups[s], zone)
             )
-            for zone in self._partners.zones(now)
+            for zone in self._peers.zones(now)
         }
         zone = max(found, key=lambda name: len(found[name]), default=None)
-        if zone is None or len(found[zone]) < partners.MIN_SHARDS:
+        if zone is None or len(found[zone]) < peers.MIN_SHARDS:
             return ()
-        chosen = self._partners.choose(now, zone)
+        chosen = self._peers.choose(now, zone)
         if chosen is None:
             return ()
         return (machine.Assignment(chosen, found[zone]),)
@@ -99,4 +99,4 @@
         )
 
     def _zone_of(self, name: str) -> str | None:
-        return None if self._partners is None else self._partners.zone_of(name)
+        return None if self._peers is None else self._peers.zone_of(name)
--- a/jackdawpass/process/serving/journal.py
+++ b/jackdawpass/process/serving/journal.py
@@ -22,18 +22,18 @@
         self._route = ""
         self._version = 0
         self._attempts: dict[int, model.Attempt] = {}
-        self._is_part = False
+        self._is_subquery = False
         self._repeats = 0
         self._failures = 0
 
-    def routed(self, route: str, version: int, part: bool = False) -> None:
+    def routed(self, route: str, version: int, subquery: bool = False) -> None:
         """Note the route and the configuration version of the request.
 
-        `part` says that an instance of another zone asked for some of the shards.
+        `subquery` says that an instance of another zone asks for some of the shards.
         """
         self._route = route
         self._version = version
-        self._is_part = part
+        self._is_subquery = subquery
 
     def queued(self, attempt: model.Attempt) -> None:
         """Note an attempt; log it when it repeats another one."""
@@ -82,8 +82,8 @@
         is_problem = isinstance(outcome, problems.Problem)
         coverage = outcome.coverage
         fields["outcome"] = "answer"
-        if self._is_part:
-            fields["part"] = True
+        if self._is_subquery:
+            fields["subquery"] = True
         if isinstance(outcome, problems.Problem):
             fields["outcome"] = outcome.kind.value
             fields["ran"] = outcome.outcome.value
--- a/jackdawpass/process/serving/meters.py
+++ b/jackdawpass/process/serving/meters.py
@@ -46,8 +46,8 @@
         self._ends = self._counter(
             "attempt_ends", "Ends of attempts by group", "group", "end"
         )
-        self._parts = self._counter(
-            "parts", "Parts asked of instances in other zones", "route", "end"
+        self._subqueries = self._counter(
+            "subqueries", "Subqueries at instances of other zones", "route", "end"
         )
         self._gauges = {
             name: prometheus_client.Gauge(
@@ -73,9 +73,9 @@
         self._series(self._attempts, group, attempt.kind.value).inc()
         self._series(self._ends, group, _end_name(end)).inc()
 
-    def part_ended(self, route: str, end: submission.End) -> None:
+    def subquery_ended(self, route: str, end: submission.End) -> None:
         """Note the end of an attempt at an instance of another zone."""
-        self._series(self._parts, route, _end_name(end)).inc()
+        self._series(self._subqueries, route, _end_name(end)).inc()
 
     def set(self, name: str, value: float) -> None:
         """Set one of `GAUGES`."""
@@ -85,7 +85,7 @@
         self, routes: collections.abc.Set[str], groups: collections.abc.Set[str]
     ) -> None:
         """Drop the series of routes and groups that no configuration names."""
-        for metric in (self._requests, self._latency, self._coverage, self._parts):
+        for metric in (self._requests, self._latency, self._coverage, self._subqueries):
             self._drop(metric, routes)
         for metric in (self._attempts, self._ends):
             self._drop(metric, groups)
--- a/jackdawpass/process/serving/peer_wire.py
+++ b/jackdawpass/process/serving/peer_wire.py
@@ -30,9 +30,13 @@
 
 
 class State(enum.Enum):
-    """Whether an instance should be asked for others."""
+    """Whether an instance should be asked for others.
+
+    A stale one serves, but the store does not tell it of changes.
+    """
 
     READY = "ready"
+    STALE = "stale"
     ISOLATED = "isolated"
     UNREADY = "unready"
 
@@ -46,7 +50,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Part:
+class Subquery:
     """What an instance is asked of a request for many shards.
 
     Attributes
@@ -99,17 +103,17 @@
     return tuple((name, value) for name, value in headers if name not in dropped)
 
 
-def encode_part(part: Part) -> ingress.Headers:
+def encode_subquery(subquery: Subquery) -> ingress.Headers:
     """Return the headers of a request for some shards."""
-    shards = b",".join(b"%d" % shard for shard in sorted(part.shards))
+    shards = b",".join(b"%d" % shard for shard in sorted(subquery.shards))
     return (
-        (SHARD_SET, part.shard_set.encode()),
+        (SHARD_SET, subquery.shard_set.encode()),
         (SHARDS, shards),
-        (ANSWER_WITHIN_MS, b"%d" % round(part.answer_within * 1000)),
+        (ANSWER_WITHIN_MS, b"%d" % round(subquery.answer_within * 1000)),
     )
 
 
-def decode_part(request: ingress.IncomingRequest) -> Part | None:
+def decode_subquery(request: ingress.IncomingRequest) -> Subquery | None:
     """Return what a request asks of its shards; None when it asks for the whole."""
     shards = request.header(SHARDS)
     if shards is None:
@@ -119,9 +123,9 @@
         within = int(request.header(ANSWER_WITHIN_MS) or b"") / 1000
     except ValueError:
         # Shards that no route has: the request is not taken.
-        return Part("", frozenset(), 0.0)
+        return Subquery("", frozenset(), 0.0)
     shard_set = (request.header(SHARD_SET) or b"").decode("latin-1")
-    return Part(shard_set, wanted, within)
+    return Subquery(shard_set, wanted, within)
 
 
 def encode_signatures(
--- a/jackdawpass/process/serving/partners.py
+++ b/jackdawpass/process/serving/peers.py
@@ -27,7 +27,7 @@
     return HOP_SECONDS <= MAX_HOP_SHARE * objective
 
 
-class Partners:
+class Peers:
     """Knows the instances of other zones, and chooses one to ask.
 
     Parameters
--- a/jackdawpass/process/serving/pulse.py
+++ b/jackdawpass/process/serving/pulse.py
@@ -42,6 +42,7 @@
         self._on_back = on_back
         self._random = generator
         self._away = False
+        self._answers = False
         self._running = True
         self._waiting: list[defer.Deferred[None]] = []
         self._sleep: defer.Deferred[typing.Any] | None = None
@@ -52,6 +53,11 @@
         """True while the store does not answer."""
         return self._away
 
+    @property
+    def answers(self) -> bool:
+        """True while the last check was answered; False before the first."""
+        return self._answers
+
     def when_back(self) -> defer.Deferred[None]:
         """Fire when the store answers again."""
         waiting: defer.Deferred[None] = defer.Deferred()
@@ -91,6 +97,7 @@
             was_hurried = not self._may_hurry and not was_hurried
 
     def _take(self, checked: result.Result[None, typing.Any]) -> None:
+        self._answers = isinstance(checked, result.Success)
         if not isinstance(checked, result.Success):
             if not self._away:
                 _logger.error("store_away", reason=str(checked.failure()))
--- a/jackdawpass/process/serving/parts.py
+++ b/jackdawpass/process/serving/subqueries.py
@@ -1,11 +1,11 @@
-"""Dialect between instances for a part of a request: some of its shards."""
+"""Dialect between instances for a subquery: a query over some of its shards."""
 
 import collections.abc
 
 from returns import result
 
 from jackdawpass.connection import dialect, ingress
-from jackdawpass.process.serving import partners, peer_wire
+from jackdawpass.process.serving import peer_wire, peers
 from jackdawpass.request import model, records
 
 EncodeRequest = collections.abc.Callable[[bytes, float, ingress.Headers], bytes]
@@ -17,7 +17,7 @@
 )
 
 
-class PartDialect:
+class SubqueryDialect:
     """Asks an instance for shards, and takes its merged reply apart.
 
     Parameters
@@ -42,9 +42,13 @@
     ) -> bytes:
         """Encode an attempt; `remaining` is in seconds."""
         answer_by = attempt.deadline if attempt.answer_by is None else attempt.answer_by
-        within = answer_by - attempt.deadline + remaining - partners.HOP_SECONDS
-        part = peer_wire.Part(attempt.snapshot, attempt.shards, max(0.0, within))
-        return self._encode_request(query, remaining, peer_wire.encode_part(part))
+        within = answer_by - attempt.deadline + remaining - peers.HOP_SECONDS
+        subquery = peer_wire.Subquery(
+            attempt.snapshot, attempt.shards, max(0.0, within)
+        )
+        return self._encode_request(
+            query, remaining, peer_wire.encode_subquery(subquery)
+        )
 
     def encode_cancel(self, attempt: model.Attempt) -> bytes | None:
         """Return None: closing the connection cancels a request."""
--- a/jackdawpass/process/serving/timing.py
+++ b/jackdawpass/process/serving/timing.py
@@ -20,7 +20,7 @@
 # Share of the objective after which the shards that an instance was asked for are asked
 # for directly unless it has said that it took them, which needs two crossings of 1.4 ms
 # and a turn of its event loop; from then on it hedges by itself.
-PART_HEDGE_SHARE = 0.2
+SUBQUERY_HEDGE_SHARE = 0.2
 # Latency assumed before there are enough replies, as a share of the objective.
 ASSUMED_LATENCY_SHARE = 0.2
 # Time that an answer needs to the caller, with the time that the request took from it:
@@ -63,9 +63,9 @@
     return now + max(left, route.objective / 2)
 
 
-def part_hedge_after(route: routes.Route) -> float:
+def subquery_hedge_after(route: routes.Route) -> float:
     """Return the seconds after which an instance that took nothing counts as lost."""
-    return route.objective * PART_HEDGE_SHARE
+    return route.objective * SUBQUERY_HEDGE_SHARE
 
 
 GroupOf = collections.abc.Callable[[str], str]
@@ -103,19 +103,19 @@
         route: routes.Route,
         timing: RouteTiming,
         budget: RequestBudget,
-        is_partner: collections.abc.Callable[[str], bool],
+        is_peer: collections.abc.Callable[[str], bool],
     ) -> None:
         self._route = route
         self._timing = timing
         self._budget = budget
-        self._is_partner = is_partner
+        self._is_peer = is_peer
         # The latencies of one moment do for all shards of a request.
         self._delays: dict[bool, float] = {}
 
     def delay(self, now: float, target: str) -> float | None:
         """Return the seconds to the hedge, or None for no hedge."""
-        if self._is_partner(target):
-            return part_hedge_after(self._route)
+        if self._is_peer(target):
+            return subquery_hedge_after(self._route)
         share = self._budget.hedge_share(now, target)
         if share <= 0:
             return None
--- a/tests/platform/test_parts_process.py
+++ b/tests/platform/test_subqueries_process.py
@@ -29,14 +29,16 @@
         self.far = users.start_front("front-b", "b")
         for front in (self.near, self.far):
             rig.wait_for(front.ready, "a front is ready")
-        rig.wait_for(lambda: self.parts > 0, "a request goes through the other zone")
+        rig.wait_for(
+            lambda: self.subqueries > 0, "a request goes through the other zone"
+        )
 
     @property
-    def parts(self) -> int:
+    def subqueries(self) -> int:
         """Parts that the far front served; asks the near one first."""
         assert self.near.ask("/search/x", "warm").status == 200
         lines = [x for x in self.far.process.lines if '"request_finished"' in x]
-        return sum(bool(json.loads(line).get("part")) for line in lines)
+        return sum(bool(json.loads(line).get("subquery")) for line in lines)
 
 
 @pytest.fixture
--- a/tests/process/serving/test_delegation.py
+++ b/tests/process/serving/test_delegation.py
@@ -195,3 +195,76 @@
     handed.caller_gone()
     assert any(transport.disconnecting for _, transport in one.links[0])
     assert not one.answers
+
+
+def substituted(monkeypatch: pytest.MonkeyPatch) -> World:
+    """Give an own aggregator, at port 0, and one of another zone, at port 9."""
+    world = World(monkeypatch, "x")
+    away = roster.Member("far", "b", "127.0.0.1", 9, 1.0)
+    own = roster.Member("x", "a", "127.0.0.1", 0, 1.0)
+    world.delegation.apply((own,), (away,))
+    return world
+
+
+def picked(world: World) -> str | None:
+    link = world.delegation.pick(())
+    return None if link is None else link.member.name
+
+
+def test_other_zones_are_not_asked_while_the_own_one_serves(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against priced questions between zones on a calm day."""
+    world = substituted(monkeypatch)
+    world.make_ready(0)
+    world.delegation.review(0.0)
+    world.connect()
+    assert list(world.links) == [0]
+
+
+def test_stale_aggregator_is_passed_over_for_one_of_another_zone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an older version for callers of an instance in touch."""
+    world = substituted(monkeypatch)
+    world.make_ready(0, state=b"stale")
+    assert picked(world) == "x" and world.delegation.ready
+    world.delegation.review(0.0)
+    world.make_ready(9)
+    assert picked(world) == "far"
+    assert not world.delegation.behind(delegation.STALE_SECONDS + 1)
+
+
+def test_lost_aggregators_are_replaced_by_those_of_another_zone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a zone of cold connections after its aggregators were killed."""
+    world = substituted(monkeypatch)
+    world.refuse()
+    world.delegation.review(0.0)
+    world.make_ready(9)
+    assert picked(world) == "far"
+
+
+def test_own_zone_is_returned_to(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against bytes between zones after the trouble has ended."""
+    world = substituted(monkeypatch)
+    world.make_ready(0, state=b"stale")
+    world.delegation.review(0.0)
+    world.make_ready(9)
+    world.reactor.advance(delegation.PING_SECONDS)
+    world.connect()
+    world.reply(0, PONG % (1, b"ready"))
+    assert picked(world) == "x"
+    world.delegation.review(delegation.SUBSTITUTE_SECONDS + 1.0)
+    assert world.delegation.pick(("x",)) is None
+
+
+def test_only_stale_aggregators_are_soon_not_trusted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against versions that nobody hears of while this instance could."""
+    world = World(monkeypatch, "x")
+    world.make_ready(0, state=b"stale")
+    assert not world.delegation.behind(delegation.STALE_SECONDS - 0.1)
+    assert world.delegation.behind(delegation.STALE_SECONDS + 0.1)
--- a/tests/process/serving/test_desk.py
+++ b/tests/process/serving/test_desk.py
@@ -20,6 +20,7 @@
     ready = True
     stopping = False
     isolated = False
+    stale = False
 
     def __init__(self) -> None:
         self.needed = 0
@@ -53,7 +54,7 @@
             7, (), (), routes.CallerLimits()
         )
         self.served: list[gateway.CallerRequest] = []
-        self.parts: list[peer_wire.Part] = []
+        self.subqueries: list[peer_wire.Subquery] = []
 
     def serve(
         self, request: gateway.CallerRequest, on_outcome: typing.Any
@@ -62,12 +63,15 @@
         on_outcome(None)
         return self  # type: ignore[return-value]
 
-    def serve_part(
-        self, request: gateway.CallerRequest, part: peer_wire.Part, on_outcome: object
+    def serve_subquery(
+        self,
+        request: gateway.CallerRequest,
+        subquery: peer_wire.Subquery,
+        on_outcome: object,
     ) -> ingress.Exchange | None:
-        if part.shard_set != SHARD_SET:
+        if subquery.shard_set != SHARD_SET:
             return None
-        self.parts.append(part)
+        self.subqueries.append(subquery)
         return self  # type: ignore[return-value]
 
 
@@ -79,9 +83,9 @@
         served_by: typing.Any = self.gateway
         self.desk = desk.PeerDesk(wire, served_by, self.part)
 
-    def ask_part(self, shard_set: str = SHARD_SET) -> ingress.OutgoingAnswer | None:
-        part = peer_wire.Part(shard_set, frozenset((1, 4)), 0.05)
-        fields = peer_wire.encode_part(part)
+    def ask_subquery(self, shard_set: str = SHARD_SET) -> ingress.OutgoingAnswer | None:
+        subquery = peer_wire.Subquery(shard_set, frozenset((1, 4)), 0.05)
+        fields = peer_wire.encode_subquery(subquery)
         answers: list[ingress.OutgoingAnswer] = []
         request = ingress.IncomingRequest(b"GET", b"/x", fields, b"")
         self.desk.handle(request, answers.append)
@@ -135,6 +139,8 @@
     [
         ({}, peer_wire.State.READY),
         ({"isolated": True}, peer_wire.State.ISOLATED),
+        ({"stale": True}, peer_wire.State.STALE),
+        ({"stale": True, "isolated": True}, peer_wire.State.ISOLATED),
         ({"stopping": True}, peer_wire.State.UNREADY),
         ({"own_ready": False}, peer_wire.State.UNREADY),
     ],
@@ -151,20 +157,59 @@
 
 
 def test_shards_of_the_same_set_are_asked_for(peer: Peer) -> None:
-    """Guards against a part that is served as a whole request."""
-    assert peer.ask_part() is None
-    assert [each.shards for each in peer.gateway.parts] == [{1, 4}]
+    """Guards against a subquery that is served as a whole request."""
+    assert peer.ask_subquery() is None
+    assert [each.shards for each in peer.gateway.subqueries] == [{1, 4}]
     assert not peer.gateway.served
 
 
 def test_shards_of_another_set_are_declined(peer: Peer) -> None:
     """Guards against an answer drawn from two versions."""
-    answer = peer.ask_part("other")
+    answer = peer.ask_subquery("other")
     assert answer is not None and not is_taken(answer)
 
 
 def test_stopping_instance_declines_shards(peer: Peer) -> None:
     """Guards against a planned stop that cuts off other instances' requests."""
     peer.part.stopping = True
-    answer = peer.ask_part()
+    answer = peer.ask_subquery()
     assert answer is not None and not is_taken(answer)
+
+
+class Delegation:
+    """Hands over every request, and knows nothing newer than version 7."""
+
+    version = 7
+
+    def __init__(self, fresh: bool) -> None:
+        self.fresh = fresh
+        self.handed = 0
+
+    def hand_over(self, *_: object) -> ingress.Exchange:
+        self.handed += 1
+        return ingress.Ended()
+
+
+@pytest.mark.parametrize(
+    ("fresh", "changes", "handed"),
+    [
+        (True, {}, 1),
+        (False, {}, 0),
+        (False, {"stale": True}, 1),
+        (False, {"own_ready": False}, 1),
+    ],
+)
+def test_instance_that_hears_more_than_its_aggregators_serves_itself(
+    fresh: bool, changes: dict[str, bool], handed: int
+) -> None:
+    """Guards against an older version while the store answers this instance alone."""
+    part = Part()
+    part.asks_targets = False
+    for name, value in changes.items():
+        setattr(part, name, value)
+    served_by, handed_by = Gateway(), Delegation(fresh)
+    known: typing.Any = (None, Wire(), served_by, handed_by, part)
+    callers = desk.CallerDesk(*known)
+    request = ingress.IncomingRequest(b"GET", b"/x", (), b"")
+    callers.handle(request, lambda answer: None)
+    assert (handed_by.handed, len(served_by.served)) == (handed, 1 - handed)
--- a/tests/process/serving/test_group_router.py
+++ b/tests/process/serving/test_group_router.py
@@ -2,7 +2,7 @@
 
 import random
 
-from jackdawpass.process.serving import group_router, partners, roster, targets
+from jackdawpass.process.serving import group_router, peers, roster, targets
 
 GROUPS = tuple(f"g{number}" for number in range(6))
 ALL = frozenset(range(len(GROUPS)))
@@ -25,8 +25,8 @@
     return found
 
 
-def nearby(*zones: str) -> partners.Partners:
-    found = partners.Partners("a", random.Random(1))
+def nearby(*zones: str) -> peers.Peers:
+    found = peers.Peers("a", random.Random(1))
     members = [
         roster.Member(f"{zone}{number}", zone, "127.0.0.1", 9, 1.0)
         for zone in zones
@@ -38,7 +38,7 @@
 
 def router(
     known: targets.Targets,
-    asked: partners.Partners | None,
+    asked: peers.Peers | None,
     max_attempts: int = 2,
     requested: list[str] | None = None,
 ) -> group_router.GroupRouter:
@@ -53,9 +53,9 @@
     """Guards against a message between zones for each shard."""
     asked = nearby("b")
     assigned = router(known_targets(), asked).assign(0.0, ALL, {})
-    parts = [each for each in assigned if asked.zone_of(each.target)]
-    assert [each.shards for each in parts] == [AWAY]
-    rest = {each.target: each.shards for each in assigned if each not in parts}
+    handed = [each for each in assigned if asked.zone_of(each.target)]
+    assert [each.shards for each in handed] == [AWAY]
+    rest = {each.target: each.shards for each in assigned if each not in handed}
     assert rest == {"g0-a": {0}, "g1-a": {1}}
 
 
@@ -79,9 +79,9 @@
     """Guards against asking behind the same cut again."""
     asked = nearby("b")
     routed = router(known_targets(), asked)
-    part = next(a for a in routed.assign(0.0, ALL, {}) if len(a.shards) > 1)
-    excluded = {shard: {part.target} for shard in part.shards}
-    again = routed.assign(0.0, part.shards, excluded)
+    subquery = next(a for a in routed.assign(0.0, ALL, {}) if len(a.shards) > 1)
+    excluded = {shard: {subquery.target} for shard in subquery.shards}
+    again = routed.assign(0.0, subquery.shards, excluded)
     assert {each.target for each in again} == {f"{GROUPS[s]}-c" for s in AWAY}
 
 
@@ -110,7 +110,9 @@
     """Guards against hedges that the one who needs them may not send."""
     asked, requested = nearby("b"), list[str]()
     routed = router(known_targets(), asked, requested=requested)
-    part = next(a for a in routed.assign(0.0, ALL, {}) if len(a.shards) > 1)
+    subquery = next(a for a in routed.assign(0.0, ALL, {}) if len(a.shards) > 1)
     assert sorted(requested) == ["g0", "g1"]
-    routed.assign(0.0, part.shards, {shard: {part.target} for shard in part.shards})
+    routed.assign(
+        0.0, subquery.shards, {shard: {subquery.target} for shard in subquery.shards}
+    )
     assert sorted(requested) == ["g0", "g1"]
--- a/tests/process/serving/test_partners.py
+++ b/tests/process/serving/test_peers.py
@@ -2,7 +2,7 @@
 
 import random
 
-from jackdawpass.process.serving import partners, roster
+from jackdawpass.process.serving import peers, roster
 
 MEMBERS = tuple(
     roster.Member(f"{zone}{number}", zone, "127.0.0.1", 9, 1.0)
@@ -11,13 +11,13 @@
 )
 
 
-def known(members: tuple[roster.Member, ...] = MEMBERS) -> partners.Partners:
-    found = partners.Partners("a", random.Random(1))
+def known(members: tuple[roster.Member, ...] = MEMBERS) -> peers.Peers:
+    found = peers.Peers("a", random.Random(1))
     found.apply(0.0, members)
     return found
 
 
-def choices(found: partners.Partners, now: float, zone: str) -> set[str | None]:
+def choices(found: peers.Peers, now: float, zone: str) -> set[str | None]:
     return {found.choose(now, zone) for _ in range(40)}
 
 
@@ -34,7 +34,7 @@
     found = known()
     found.on_trouble(0.0, "instance/b0")
     assert found.zones(0.1) == ["c"]
-    later = partners.ZONE_PAUSE_SECONDS + 0.1
+    later = peers.ZONE_PAUSE_SECONDS + 0.1
     assert choices(found, later, "b") == {"instance/b1"}
 
 
@@ -44,12 +44,12 @@
     now = 0.0
     for _ in range(3):
         found.on_trouble(now, "instance/b0")
-        now += 2 * partners.PAUSE_SECONDS
+        now += 2 * peers.PAUSE_SECONDS
     assert choices(found, now, "b") == {None}
     found.on_answer(now, "instance/b0", 1.0)
-    now += partners.MAX_PAUSE_SECONDS
+    now += peers.MAX_PAUSE_SECONDS
     found.on_trouble(now, "instance/b0")
-    now += partners.PAUSE_SECONDS + 0.1
+    now += peers.PAUSE_SECONDS + 0.1
     assert choices(found, now, "b") == {"instance/b0"}
 
 
@@ -80,5 +80,5 @@
 
 def test_short_objectives_are_served_directly() -> None:
     """Guards against a hop that takes a tenth of the time that a caller has."""
-    assert partners.worthwhile(0.092)
-    assert not partners.worthwhile(0.044)
+    assert peers.worthwhile(0.092)
+    assert not peers.worthwhile(0.044)
--- a/tests/process/serving/test_parts.py
+++ b/tests/process/serving/test_subqueries.py
@@ -4,7 +4,7 @@
 from returns import result
 
 from jackdawpass.connection import dialect, ingress
-from jackdawpass.process.serving import parts, peer_wire
+from jackdawpass.process.serving import peer_wire, subqueries
 from jackdawpass.request import model, records
 
 ATTEMPT = model.Attempt(
@@ -27,8 +27,8 @@
 
 
 @pytest.fixture
-def wire() -> parts.PartDialect:
-    return parts.PartDialect(encode)
+def wire() -> subqueries.SubqueryDialect:
+    return subqueries.SubqueryDialect(encode)
 
 
 def as_request(headers: ingress.Headers) -> ingress.IncomingRequest:
@@ -39,31 +39,31 @@
     return dialect.HttpReply(answer.status, answer.body, answer.headers)
 
 
-def test_part_names_version_shards_and_time(wire: parts.PartDialect) -> None:
+def test_part_names_version_shards_and_time(wire: subqueries.SubqueryDialect) -> None:
     """Guards against shards numbered in another way, and late partial replies."""
     sent = wire.encode_run(ATTEMPT, 1.0, b"query").split(b"\n")
     assert sent[0] == b"1.000" and sent[-1] == b"query"
     headers = tuple(tuple(line.split(b"=")) for line in sent[1:-1])
-    part = peer_wire.decode_part(as_request(headers))  # type: ignore[arg-type]
-    assert part is not None
-    assert (part.shard_set, part.shards) == ("s7", ATTEMPT.shards)
-    assert 0.49 < part.answer_within < 0.5
+    subquery = peer_wire.decode_subquery(as_request(headers))  # type: ignore[arg-type]
+    assert subquery is not None
+    assert (subquery.shard_set, subquery.shards) == ("s7", ATTEMPT.shards)
+    assert 0.49 < subquery.answer_within < 0.5
 
 
 def test_request_for_the_whole_is_no_part() -> None:
-    """Guards against a hand-over that is answered in part."""
-    assert peer_wire.decode_part(as_request(())) is None
+    """Guards against a hand-over that is answered in subquery."""
+    assert peer_wire.decode_subquery(as_request(())) is None
 
 
 @pytest.mark.parametrize("shards", [b"", b"x", b"1,,2", b"-"])
 def test_unreadable_part_fits_no_route(shards: bytes) -> None:
     """Guards against answering another question than was asked."""
     fields = ((peer_wire.SHARDS, shards), (peer_wire.SHARD_SET, b"s7"))
-    part = peer_wire.decode_part(as_request(fields))
-    assert part is not None and not part.shard_set
+    subquery = peer_wire.decode_subquery(as_request(fields))
+    assert subquery is not None and not subquery.shard_set
 
 
-def test_merged_reply_arrives_as_it_was(wire: parts.PartDialect) -> None:
+def test_merged_reply_arrives_as_it_was(wire: subqueries.SubqueryDialect) -> None:
     """Guards against records or signatures lost on the way."""
     merged = records.RecordMerge(ATTEMPT.shards)
     for shard, letter in ((3, b"a"), (5, b"b")):
@@ -72,7 +72,7 @@
     coverage = model.Coverage(2, 2)
     top = merged.top(4)
     answer = model.Answer("r", "search", "s7", coverage, top)
-    decoded = wire.decode_run(ATTEMPT, as_reply(parts.encode_answer(answer)))
+    decoded = wire.decode_run(ATTEMPT, as_reply(subqueries.encode_answer(answer)))
     reply = decoded.unwrap()
     assert reply.is_final
     again = records.RecordMerge(ATTEMPT.shards)
@@ -94,7 +94,7 @@
     ],
 )
 def test_other_replies_are_failures(
-    wire: parts.PartDialect,
+    wire: subqueries.SubqueryDialect,
     status: int,
     headers: ingress.Headers,
     failure: model.FailureKind,
