--- a/jackdawpass/process/serving/desk.py
+++ b/jackdawpass/process/serving/desk.py
@@ -19,8 +19,9 @@
 # Instances that hand requests over know no configuration; they keep idle connections at
 # least as long as operators allow callers to use them.
 IDLE_SECONDS = 60.0
-# Time that the way to an aggregator and back takes on a small machine, in seconds.
-HOP_SECONDS = 0.003
+# Time that the way to an aggregator and back takes on a machine of 0.36 cores, as
+# measured between the aggregator's answer and the caller's receipt of it.
+HOP_SECONDS = 0.006
 
 
 class CallerDialect(typing.Protocol):
--- a/tests/process/serving/test_desk.py
+++ b/tests/process/serving/test_desk.py
@@ -6,7 +6,7 @@
 from returns import result
 
 from jackdawpass.connection import ingress
-from jackdawpass.process.serving import desk, gateway, peer_wire
+from jackdawpass.process.serving import desk, gateway, peer_wire, timing
 from jackdawpass.version import routes
 
 SHARD_SET = "s7"
@@ -213,3 +213,16 @@
     request = ingress.IncomingRequest(b"GET", b"/x", (), b"")
     callers.handle(request, lambda answer: None)
     assert (handed_by.handed, len(served_by.served)) == (handed, 1 - handed)
+
+
+# Measured on a calm day of 144 instances: the median time that a caller waited beyond
+# the aggregator's own, 6 ms of it on the way to the caller and from it.
+MEASURED_DETOUR_SECONDS = 0.0113
+
+
+def test_partial_answer_through_an_aggregator_arrives_within_the_objective() -> None:
+    """Guards against answers that miss a short objective by a millisecond."""
+    route = routes.Route("r", "h", "/", True, ("g",), (), 1.0, 0.046)
+    leaves = timing.answer_by(0.0, desk.HOP_SECONDS, route)
+    # A turn of the event loop and the end of 90 attempts take up to two more.
+    assert leaves + MEASURED_DETOUR_SECONDS + 0.002 <= route.objective
