Read the front's log lines into the time line

Cause: `jackdawpass timeline` knew the events of `jackdawpass entry` alone, so that a request's way over an instance, its aggregator and a subquery had to be put together by hand from several logs.

Change: lines of front processes become events: outcomes, repeats, failures, versions and changes of belief (store lost or back, aggregators, isolation). Each start of an instance is a process of its own. A prefix before the JSON is skipped.

--- a/jackdawpass/process/events.py
+++ b/jackdawpass/process/events.py
@@ -31,6 +31,7 @@
     ATTEMPT_REPLIED = "attempt_replied"
     ATTEMPT_FAILED = "attempt_failed"
     ATTEMPT_CANCELLED = "attempt_cancelled"
+    BELIEF_CHANGED = "belief_changed"
 
 
 class Reference(msgspec.Struct, frozen=True):
--- a/jackdawpass/timeline/reading.py
+++ b/jackdawpass/timeline/reading.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from jackdawpass.process import events
+from jackdawpass.timeline import front_log
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,30 +33,34 @@
     last: int
 
 
-class _Line(msgspec.Struct):
+class _Line(front_log.Line):
     event: events.Event | None = None
-    message_type: str = ""
 
 
 def from_log(lines: collections.abc.Iterable[bytes]) -> LogContent:
     """Read the events in a log.
 
-    Lines of other message types are skipped, and so is the line with the port.
+    Lines of other message types are skipped, and so is the line with the port. What
+    stands before a line's first brace is skipped too: collectors of logs add a prefix.
     """
     decoder = msgspec.json.Decoder(_Line)
+    fronts = front_log.Reader()
     found = []
     unreadable = 0
     for line in lines:
         if not line.strip():
             continue
         try:
-            decoded = decoder.decode(line)
+            decoded = decoder.decode(line[max(0, line.find(b"{")) :])
         except msgspec.MsgspecError:
             # The last line of a killed process may be incomplete.
             unreadable += 1
             continue
-        if decoded.message_type == events.MESSAGE_TYPE and decoded.event is not None:
-            found.append(decoded.event)
+        event = decoded.event
+        if decoded.message_type != events.MESSAGE_TYPE:
+            event = fronts.read(decoded)
+        if event is not None:
+            found.append(event)
     return LogContent(found, unreadable)
 
 
--- /dev/null
+++ b/tests/timeline/test_front_log.py
@@ -0,0 +1,66 @@
+"""Log lines of front processes in a time line."""
+
+import json
+import typing
+
+from jackdawpass.process import events
+from jackdawpass.timeline import filters, merge, reading, render_text
+
+
+def line(message_type: str, at: float, **fields: typing.Any) -> bytes:
+    known = {"instance": "f1", "zone": "a", "timestamp": at, "level": "info"}
+    return json.dumps(known | {"message_type": message_type} | fields).encode()
+
+
+LOG = [
+    b"port 8080",
+    line("started", 1.0),
+    line("version_in_force", 1.5, version=3),
+    line("attempt_repeated", 2.0, request_id="r1", route="search", attempt=21,
+         attempt_kind="hedge", target="t7", reason="hedge"),
+    line("attempt_failed", 2.1, request_id="r1", route="search", attempt=21,
+         attempt_kind="hedge", target="t7", reason="shed refused_not_run"),
+    b"   2.2000 f1 " + line("request_finished", 2.2, request_id="r1", route="search",
+                            outcome="answer", shards=20, covered=19),
+    line("targets_listed", 2.3, targets=40),
+    line("store_away", 2.4, reason="status 429"),
+    line("started", 9.0),
+    line("store_back", 9.5),
+]  # fmt: skip
+
+
+def test_lines_become_events_in_their_order() -> None:
+    """Guards against a time line that leaves out what the front processes say."""
+    found = reading.from_log(LOG).events
+    assert [(each.kind, each.detail) for each in found] == [
+        (events.Kind.STARTED, ""),
+        (events.Kind.VERSION_IN_FORCE, ""),
+        (events.Kind.ATTEMPT_QUEUED, "hedge"),
+        (events.Kind.ATTEMPT_FAILED, "shed refused_not_run"),
+        (events.Kind.REQUEST_FINISHED, "answer"),
+        (events.Kind.BELIEF_CHANGED, "store_away status 429"),
+        (events.Kind.STARTED, ""),
+        (events.Kind.BELIEF_CHANGED, "store_back"),
+    ]
+    assert [each.seq for each in found] == [1, 2, 3, 4, 5, 6, 1, 2]
+    assert {each.process for each in found} == {"f1.1", "f1.2"}
+
+
+def test_one_request_over_two_instances() -> None:
+    """Guards against lines of a subquery that cannot be set beside its request."""
+    other = line("request_finished", 2.15, request_id="r1", instance="f2", zone="b",
+                 route="search", outcome="answer", subquery=True)  # fmt: skip
+    found = reading.from_log(LOG).events + reading.from_log([other]).events
+    timeline = filters.apply(merge.merge(found), filters.Filter(request="r1"))
+    assert [entry.event.instance for entry in timeline.entries] == [
+        "f1",
+        "f1",
+        "f2",
+        "f1",
+    ]
+    assert "target=t7" in render_text.render(timeline)
+
+
+def test_unreadable_lines_are_counted() -> None:
+    """Guards against a broken log that passes for a quiet one."""
+    assert reading.from_log([b'{"message_type": "started", "insta']).unreadable == 1
