Play subqueries in the soak, and prove its checks by mutations of the product

Cause: the soak's fronts all had targets in their own zone, so that no request was asked for through an instance of another one; and nothing showed that its checks find a fault of the product and not only made-up answers.

Change: every third front of a run without the tier stands in a zone without targets. A request's sampling decision is forgotten at its end, as in the product's own interface; before, up to 100,000 were kept.

--- a/jackdawpass/process/serving/journal.py
+++ b/jackdawpass/process/serving/journal.py
@@ -94,6 +94,9 @@
                 str(each.shard): each.reason.value for each in coverage.missing
             }
         self._line("request_finished", is_problem, fields)
+        log = logs.current()
+        if log is not None:
+            log.finish_request(self._request_id)
 
     def _attempt_line(self, kind: str, attempt: model.Attempt, reason: str) -> None:
         fields = {
--- a/soak/estate.py
+++ b/soak/estate.py
@@ -113,7 +113,8 @@
         if tier:
             self._add_absent_instances()
         for number in range(fronts):
-            zone = "a" if tier or number % 2 == 0 else "b"
+            # Zone c has no targets: its fronts ask those of other zones for all shards.
+            zone = "a" if tier else "abc"[number % 3]
             self._add_front(directory, f"front-{number}", zone)
 
     def configure(self) -> None:
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -288,6 +288,77 @@
         "",
         "tests/process/serving/test_delegation.py",
     ),
+    Mutation(
+        "front: records of a subquery once",
+        "jackdawpass/request/records.py",
+        "        was_uncovered = shard in self._uncovered\n",
+        "        if shard not in self._uncovered:\n            return False\n"
+        "        was_uncovered = True\n",
+        "tests/request/test_records.py",
+    ),
+    Mutation(
+        "front: subquery of the same shards",
+        "jackdawpass/process/serving/gateway.py",
+        " or route.shard_set != subquery.shard_set:",
+        ":",
+        "tests/platform/test_subqueries_process.py",
+    ),
+    Mutation(
+        "front: subquery that nobody took",
+        "jackdawpass/request/fanout.py",
+        "        if self._plan.hedge_unsent:\n"
+        "            self._plan_hedge(now, attempt)\n",
+        "",
+        "tests/request/test_fanout.py",
+    ),
+    Mutation(
+        "front: stale aggregators",
+        "jackdawpass/process/serving/desk.py",
+        "        elif self._part.stale:\n            state = peer_wire.State.STALE\n",
+        "",
+        "tests/process/serving/test_desk.py",
+    ),
+    Mutation(
+        "soak: right records",
+        "jackdawpass/request/records.py",
+        "heapq.nlargest(",
+        "heapq.nsmallest(",
+        "tests/soak/test_run.py",
+    ),
+    Mutation(
+        "soak: true coverage",
+        "jackdawpass/platform/callers.py",
+        "missing = coverage.shards - coverage.covered",
+        "missing = 0",
+        "tests/soak/test_run.py",
+    ),
+    Mutation(
+        "soak: runs at most once",
+        "jackdawpass/request/single_run.py",
+        "if failure.execution is model.Execution.MAY_HAVE_RUN:",
+        "if False:",
+        "tests/soak/test_run.py",
+    ),
+    Mutation(
+        "soak: no work for a target that left",
+        "jackdawpass/process/serving/targets.py",
+        "return not self.listed.leaving and now >= self._misdirected_until",
+        "return now >= self._misdirected_until",
+        "tests/soak/test_run.py",
+    ),
+    Mutation(
+        "soak: recovery",
+        "jackdawpass/process/serving/view.py",
+        "        self.refresh()\n",
+        "        pass\n",
+        "tests/soak/test_run.py",
+        (
+            (
+                "        self._listener.on_store_back()\n",
+                "        pass\n",
+            ),
+        ),
+    ),
 )
 
 
