Refuse other methods by a problem document

Cause: a caller of the product's own interface that used another method got twisted.web's HTML page, where every other refusal is a problem document.

Change: the leaf resources share one base that answers 405 with the methods allowed, as a problem of the kind `method_not_allowed`.

--- a/jackdawpass/process/http_api.py
+++ b/jackdawpass/process/http_api.py
@@ -5,7 +5,7 @@
 import uuid
 
 import msgspec
-from twisted.web import resource, server
+from twisted.web import error, resource, server
 
 from jackdawpass import clock
 from jackdawpass.process import control
@@ -69,16 +69,29 @@
     return server.Site(root)
 
 
-class _Health(resource.Resource):
+class Leaf(resource.Resource):
+    """A resource without children that refuses other methods by a problem document."""
+
     isLeaf = True
 
+    def render(self, request: server.Request) -> bytes | int:
+        """Answer a request by the method of the same name."""
+        try:
+            answer: bytes | int = super().render(request)
+        except error.UnsupportedMethod as refused:
+            allowed = b", ".join(sorted(refused.allowedMethods))
+            request.setHeader("Allow", allowed)
+            problem = _method_not_allowed(allowed.decode("latin-1"))
+            return _render_problem(request, uuid.uuid4().hex, problem)
+        return answer
+
+
+class _Health(Leaf):
     def render_GET(self, request: server.Request) -> bytes:
         return render(request, 200, {"status": "ok"})
 
 
-class _Ready(resource.Resource):
-    isLeaf = True
-
+class _Ready(Leaf):
     def __init__(self, queries: QueryService) -> None:
         super().__init__()
         self._queries = queries
@@ -89,9 +102,7 @@
         return render(request, 200 if reason is None else 503, document)
 
 
-class _Control(resource.Resource):
-    isLeaf = True
-
+class _Control(Leaf):
     def __init__(self, queries: QueryService) -> None:
         super().__init__()
         self._queries = queries
@@ -101,9 +112,7 @@
         return render(request, 200, msgspec.to_builtins(status))
 
 
-class _Services(resource.Resource):
-    isLeaf = True
-
+class _Services(Leaf):
     def __init__(self, queries: QueryService, max_body_bytes: int) -> None:
         super().__init__()
         self._queries = queries
@@ -171,6 +180,11 @@
         self._request.finish()
 
 
+def _method_not_allowed(allowed: str) -> problems.Problem:
+    detail = f"the resource does not know the method; use one of {allowed}"
+    return problems.not_run(problems.ProblemKind.METHOD_NOT_ALLOWED, detail)
+
+
 def _unknown_resource() -> problems.Problem:
     return problems.not_run(
         problems.ProblemKind.UNKNOWN_RESOURCE,
--- a/jackdawpass/process/operator_api.py
+++ b/jackdawpass/process/operator_api.py
@@ -35,9 +35,7 @@
     }
 
 
-class _Status(resource.Resource):
-    isLeaf = True
-
+class _Status(http_api.Leaf):
     def __init__(self, instance: Instance) -> None:
         super().__init__()
         self._instance = instance
@@ -46,9 +44,7 @@
         return http_api.render(request, 200, self._instance.status())
 
 
-class _Events(resource.Resource):
-    isLeaf = True
-
+class _Events(http_api.Leaf):
     def __init__(self, instance: Instance) -> None:
         super().__init__()
         self._instance = instance
@@ -68,9 +64,7 @@
         return http_api.render(request, 200, document)
 
 
-class _Drain(resource.Resource):
-    isLeaf = True
-
+class _Drain(http_api.Leaf):
     def __init__(self, instance: Instance) -> None:
         super().__init__()
         self._instance = instance
--- a/jackdawpass/request/problems.py
+++ b/jackdawpass/request/problems.py
@@ -15,6 +15,7 @@
     MALFORMED_REQUEST = "malformed_request"
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_RESOURCE = "unknown_resource"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
     BODY_TOO_LARGE = "body_too_large"
     NO_CONFIGURATION = "no_configuration"
     NO_SNAPSHOT = "no_snapshot"
@@ -33,6 +34,7 @@
     ProblemKind.MALFORMED_REQUEST: 400,
     ProblemKind.UNKNOWN_SERVICE: 404,
     ProblemKind.UNKNOWN_RESOURCE: 404,
+    ProblemKind.METHOD_NOT_ALLOWED: 405,
     ProblemKind.BODY_TOO_LARGE: 413,
     ProblemKind.NO_CONFIGURATION: 503,
     ProblemKind.NO_SNAPSHOT: 503,
