--- a/tests/request/test_fanout.py
+++ b/tests/request/test_fanout.py
@@ -1,5 +1,3 @@
-import dataclasses
-
 import pytest
 
 from jackdawpass.request import fanout, machine, model, problems
@@ -341,71 +339,3 @@
     assert machine.WakeAt(0.1) in query.on_sent(0.0, 1)
     assert machine.WakeAt(0.5) in query.on_timer(0.1)
     assert machine.WakeAt(1.0) in query.on_timer(0.5)
-
-
-def test_shards_left_out_of_a_final_reply_are_not_retried() -> None:
-    """Guards against asking again what an instance has already retried."""
-    query = _fanout(min_coverage=0.1)
-    first, _ = fakes.sends(query.start(0.0))
-    final = dataclasses.replace(fakes.reply(first, {0}), is_final=True)
-    assert not fakes.sends(query.on_reply(0.1, 1, final))
-    answer = _answer(query.on_reply(0.2, 2, fakes.reply(_other(query))))
-    assert [each.shard for each in answer.coverage.missing] == [1]
-
-
-def _other(query: fanout.Fanout) -> model.Attempt:
-    return model.Attempt(
-        2, "r1", "lots", "c", frozenset({2}), "s1", 1.0, 5, model.AttemptKind.FIRST
-    )
-
-
-class OneSubquery:
-    """Assigns all shards to one instance first."""
-
-    def assign(
-        self, now: float, shards: frozenset[int], excluded: machine.Excluded
-    ) -> tuple[machine.Assignment, ...]:
-        if not excluded:
-            return (machine.Assignment("instance/b0", shards),)
-        return tuple(machine.Assignment(f"t{s}", frozenset({s})) for s in shards)
-
-
-def test_declined_shards_cost_no_try_and_no_budget() -> None:
-    """Guards against an answer without the shards of an instance that stops."""
-    query = fanout.Fanout(
-        fakes.plan(REPLICAS, "s1", max_attempts=1),
-        OneSubquery(),
-        fakes.FixedHedging(None),
-        fakes.CountedBudget(0),
-        fakes.FixedSource(),
-    )
-    query.start(0.0)
-    declined = model.AttemptFailure(model.FailureKind.DECLINED, NOT_SENT)
-    assert len(fakes.sends(query.on_failure(0.1, 1, declined))) == len(REPLICAS)
-
-
-def _one_subquery(hedge_delay: float) -> fanout.Fanout:
-    return fanout.Fanout(
-        fakes.plan(REPLICAS, "s1", early_after=0.5, hedge_unsent=True),
-        OneSubquery(),
-        fakes.FixedHedging(hedge_delay),
-        fakes.CountedBudget(10),
-        fakes.FixedSource(),
-    )
-
-
-def test_part_that_nobody_took_is_asked_for_directly() -> None:
-    """Guards against shards that are lost with a silent instance."""
-    query = _one_subquery(0.1)
-    query.start(0.0)
-    assert len(fakes.sends(query.on_timer(0.1))) == len(REPLICAS)
-
-
-def test_part_that_was_taken_is_hedged_there_until_its_reply_is_due() -> None:
-    """Guards against asking twice for what an instance already hedges."""
-    query = _one_subquery(0.1)
-    query.start(0.0)
-    query.on_accepted(0.05, 1)
-    assert not fakes.sends(query.on_timer(0.1))
-    assert not fakes.sends(query.on_timer(0.5))
-    assert len(fakes.sends(query.on_timer(0.6))) == len(REPLICAS)
