Follow targets for 2.5 s instead of 8 after the need has ended

Cause: an instance that once found no aggregator followed configuration and targets for 8 s more: each change of 690 entries is a call, several a second, at up to 138 instances at once.

Change: KEEP_SECONDS 8 to 2.5, the time in which an aggregator is back.

--- a/jackdawpass/process/serving/front.py
+++ b/jackdawpass/process/serving/front.py
@@ -30,8 +30,9 @@
 
 # Connections that wait to be accepted; a full queue delays new callers by seconds.
 LISTEN_BACKLOG = 512
-# How long targets are followed after they were last needed.
-KEEP_SECONDS = 8.0
+# How long targets are followed after they were last needed: a restart of an aggregator.
+# To list them anew costs three calls, to follow them several a second.
+KEEP_SECONDS = 2.5
 # Parts of what all instances may ask of targets together: for those that ask for
 # others, and for those that ask only while no aggregator can be reached.
 AGGREGATORS_PART = 0.75
