Take the soak's ports from below those of outgoing connections

A fault of the soak, and a traceback where an operator looks for a remedy.

Change: ports are drawn from 20,000 to 32,000; `jackdawpass front` names the address and the remedy when it cannot listen.

--- a/jackdawpass/commands/front.py
+++ b/jackdawpass/commands/front.py
@@ -88,8 +88,8 @@
 
 
 def _serve(options: settings.FrontSettings, path: str) -> int:
+    from twisted.internet import error, task
     from twisted.internet import reactor as process_reactor
-    from twisted.internet import task
 
     reactor: typing.Any = process_reactor
     sampler = logs.Sampler(
@@ -104,7 +104,13 @@
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reloader.review))
     task.LoopingCall(reloader.review).start(REVIEW_SECONDS, now=False)
     instance.stopped.addCallback(lambda _: reactor.callLater(0.05, reactor.stop))
-    instance.start()
+    try:
+        instance.start()
+    except error.CannotListenError as failure:
+        raise console.Failed(
+            f"cannot listen on {failure.interface}:{failure.port} "
+            f"({failure.socketError}); end who holds the port, or change the settings"
+        ) from None
     reactor.run(installSignalHandlers=False)
     sys.stdout.flush()
     return console.EXIT_DONE
--- a/soak/estate.py
+++ b/soak/estate.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -40,11 +41,22 @@
 """
 
 
+# Below the ports that the system gives to outgoing connections: one of those could take
+# the port of a front while it is down.
+_PORTS = range(20_000, 32_000)
+
+
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as listening:
-        listening.bind(("127.0.0.1", 0))
-        return int(listening.getsockname()[1])
+    """Return a port that is free now, and that no outgoing connection will get."""
+    while True:
+        port = random.SystemRandom().choice(_PORTS)
+        with socket.socket() as listening:
+            try:
+                listening.bind(("127.0.0.1", port))
+            except OSError:
+                # Another run has it; draw again.
+                continue
+            return port
 
 
 class Front:
