Let all targets of a group fail at once in the soak

Single targets failed, so that answers were hardly ever partial, and cuts of the group that takes reservations were rare.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -33,6 +33,7 @@
             self.store,
             self.history,
             self.target,
+            self.group,
             self.freeze,
             self.kill,
             self.planned_stop,
@@ -77,6 +78,20 @@
         self._estate.faults(target, mode=mode)
         return Injected(f"{name} {mode}", lambda: self._estate.faults(target))
 
+    def group(self) -> Injected:
+        """Let all targets of one group misbehave: answers are partial, at best."""
+        group = self._random.choice(estate.GROUPS)
+        mode = self._random.choice(["error", "hang", "reset", "cut"])
+        members = [t for n, t in self._estate.targets.items() if n.startswith(group)]
+        for target in members:
+            self._estate.faults(target, mode=mode)
+
+        def mend() -> None:
+            for target in members:
+                self._estate.faults(target)
+
+        return Injected(f"{group} {mode}", mend)
+
     def freeze(self) -> Injected:
         """Stop one front for a while."""
         name = self._random.choice(sorted(self._estate.fronts))
