Bound every reply and request that a peer may send without end

Cause: a client connection bounded nothing before the body, read a body on after 16 MiB, and skipped interim and foreign replies without end; a caller could send trailers without end, and responses piled up for a caller that did not read. A driver of the old connection read 48 MB of short header lines, held 952 MB and stayed open.

Change: ReplyLimits bound head, body, framing and skipped replies of one exchange, ReplyMemory all unfinished replies of a process (an eighth of its memory in the front; the largest ends first). Such a reply ends the exchange at once, closes the connection, counts against its target, is logged with target and bytes and is retried like any other failure. RecordMerge reduces oversized bodies as they are added. Callers' framing is bounded by their header limit, and a caller that does not read is not served further. AggregatorLink and the immediate refusals get modules of their own.

--- a/jackdawpass/connection/http_connection.py
+++ b/jackdawpass/connection/http_connection.py
@@ -13,9 +13,11 @@
 from twisted.python import failure
 
 from jackdawpass import clock
-from jackdawpass.connection import dialect
+from jackdawpass.connection import dialect, reply_limits
 
-MAX_REPLY_BYTES = 16 * 1024 * 1024
+# Bodies up to this size are not counted in the memory of unfinished replies.
+UNCOUNTED_BODY_BYTES = 16 * 1024
+DEFAULT_LIMITS = reply_limits.ReplyLimits()
 
 
 class ExchangeError(enum.Enum):
@@ -55,11 +57,27 @@
     """Persistent connection; a second request may start only after the reply.
 
     Bytes that arrive while no exchange is outstanding belong to no request, so they
-    close the connection.
+    close the connection. So does a reply that exceeds its limits.
+
+    Parameters
+    ----------
+    owner : Owner
+        Receives the events of the connection.
+    limits : ReplyLimits
+        Limits on each reply.
+    memory : ReplyMemory or None
+        Memory that the replies of all connections share; None for no shared limit.
     """
 
-    def __init__(self, owner: Owner) -> None:
+    def __init__(
+        self,
+        owner: Owner,
+        limits: reply_limits.ReplyLimits = DEFAULT_LIMITS,
+        memory: reply_limits.ReplyMemory | None = None,
+    ) -> None:
         self._owner = owner
+        self._limits = limits
+        self._memory = memory
         self._parser = httptools.HttpResponseParser(self)
         self._on_done: OnDone | None = None
         self._matches: MatchesRequest | None = None
@@ -67,6 +85,13 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._counted_bytes = 0
+        self._raw_bytes = 0
+        self._header_bytes = 0
+        self._skipped_replies = 0
+        self._received_bytes = 0
+        self._in_body = False
+        self._discarding = False
         self._reply_started = False
         self._body_ends_at_close = False
         self._complete = False
@@ -87,6 +112,11 @@
         """True until the connection is closed or about to close."""
         return not self._closed
 
+    @property
+    def received_bytes(self) -> int:
+        """Number of bytes received in the current or last exchange."""
+        return self._received_bytes
+
     def usable(self, now: float) -> bool:
         """Return whether a request may still be sent on the idle connection."""
         return self.open and (self._expires_at is None or now < self._expires_at)
@@ -119,6 +149,9 @@
         self._matches = matches
         self._on_interim = on_interim
         self._exchange_count += 1
+        self._skipped_replies = 0
+        self._received_bytes = 0
+        self._discarding = False
         self._write(request)
 
     def discard_reply(self, on_done: OnDone) -> None:
@@ -127,12 +160,19 @@
             raise RuntimeError("no reply is outstanding")
         self._on_done = on_done
         self._on_interim = None
+        self._discarding = True
+        self._body = []
+        self._release_memory()
 
     def abort(self) -> None:
         """Close the connection at once and abandon its outstanding exchange."""
         self._on_done = None
         self._close()
 
+    def on_reply_memory_exceeded(self) -> None:
+        """End the exchange: unfinished replies need too much memory together."""
+        self._fail(ExchangeError.TOO_LARGE)
+
     def connectionMade(self) -> None:
         """Disable Nagle's algorithm and detect a peer that no longer responds."""
         transport: typing.Any = self.transport
@@ -154,17 +194,25 @@
         if self._on_done is None:
             self._close()
             return
+        self._received_bytes += len(data)
+        self._raw_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
             self._fail(ExchangeError.MALFORMED)
             return
-        if self._complete:
+        # The parser's callbacks may have ended the exchange.
+        if self._on_done is None:
+            return
+        if self._exceeds_limits():
+            self._fail(ExchangeError.TOO_LARGE)
+        elif self._complete:
             self._finish()
 
     def connectionLost(self, reason: failure.Failure | None = None) -> None:
         """Report the loss to the outstanding exchange and to the owner."""
         self._closed = True
+        self._release_memory()
         if self._body_ends_at_close and _is_clean_close(reason):
             self.on_message_complete()
         on_done, self._on_done = self._on_done, None
@@ -186,13 +234,17 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header (called by the parser)."""
-        if not self._complete:
+        self._header_bytes += len(name) + len(value)
+        # Headers after the body are trailers, which are not used.
+        if not self._complete and not self._in_body:
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Determine how the body ends (called by the parser)."""
         if self._complete:
             return
+        self._in_body = True
+        self._raw_bytes = 0
         names = {name for name, _ in self._headers}
         self._body_ends_at_close = self._parser.get_status_code() not in (
             204,
@@ -204,8 +256,12 @@
         if self._complete:
             return
         self._body_bytes += len(body)
-        if self._body_bytes <= MAX_REPLY_BYTES:
-            self._body.append(body)
+        if self._discarding or self._body_bytes > self._limits.max_body_bytes:
+            return
+        self._body.append(body)
+        if self._memory is not None and self._body_bytes > UNCOUNTED_BODY_BYTES:
+            self._memory.add(self, self._body_bytes - self._counted_bytes)
+            self._counted_bytes = self._body_bytes
 
     def on_message_complete(self) -> None:
         """Mark the reply as complete (called by the parser)."""
@@ -218,11 +274,29 @@
         )
         if self._status < 200 or not self._is_expected():
             self._clear_reply()
+            self._skipped_replies += 1
             if self._status < 200 and self._on_interim is not None:
                 self._on_interim()
             return
         self._complete = True
 
+    def _exceeds_limits(self) -> bool:
+        limits = self._limits
+        if (
+            self._body_bytes > limits.max_body_bytes
+            or self._header_bytes > limits.max_head_bytes
+            or self._skipped_replies > limits.max_skipped_replies
+        ):
+            return True
+        if self._complete:
+            return False
+        if not self._in_body:
+            return self._raw_bytes > limits.max_head_bytes
+        framing_bytes = self._raw_bytes - self._body_bytes
+        return not reply_limits.allows_framing(
+            framing_bytes, self._body_bytes, limits.max_head_bytes
+        )
+
     def _write(self, data: bytes) -> None:
         # An idle connection has no buffered bytes, so the socket can be written to at
         # once; the transport would wait for the next iteration of the reactor.
@@ -239,13 +313,12 @@
         on_done, self._on_done = self._on_done, None
         assert on_done is not None
         reply = self._reply()
-        too_large = self._body_bytes > MAX_REPLY_BYTES
         reusable = self._keep_alive and not self._closed
         self._update_expiry(reply)
         self._reset_parser()
-        if not reusable or too_large:
+        if not reusable:
             self._close()
-        on_done(ExchangeError.TOO_LARGE if too_large else reply)
+        on_done(reply)
 
     def _reply(self) -> dialect.HttpReply:
         return dialect.HttpReply(
@@ -267,12 +340,22 @@
         self._keep_alive = False
 
     def _clear_reply(self) -> None:
+        self._release_memory()
         self._headers = []
         self._body = []
         self._body_bytes = 0
+        self._raw_bytes = 0
+        self._header_bytes = 0
+        self._in_body = False
         self._reply_started = False
         self._body_ends_at_close = False
 
+    def _release_memory(self) -> None:
+        if self._counted_bytes:
+            assert self._memory is not None
+            self._memory.release(self)
+            self._counted_bytes = 0
+
     def _fail(self, error_kind: ExchangeError) -> None:
         on_done, self._on_done = self._on_done, None
         self._close()
@@ -282,6 +365,8 @@
     def _close(self) -> None:
         self._closed = True
         self._aborted = True
+        self._release_memory()
+        self._body = []
         if self.transport is not None:
             self.transport.abortConnection()  # type: ignore[attr-defined]
 
--- a/jackdawpass/connection/ingress.py
+++ b/jackdawpass/connection/ingress.py
@@ -9,6 +9,7 @@
 from twisted.internet import protocol
 from twisted.python import failure
 
+from jackdawpass.connection import reply_limits
 from jackdawpass.version import routes
 
 # Headers that apply to a single connection (RFC 9110, section 7.6.1).
@@ -131,6 +132,8 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._framed_bytes = 0
+        self._write_paused = False
         self._pending: collections.deque[tuple[IncomingRequest, bool]] = (
             collections.deque()
         )
@@ -148,15 +151,31 @@
         """Wait for the first request."""
         transport: typing.Any = self.transport
         transport.setTcpNoDelay(True)
+        # The transport calls pauseProducing while the caller does not read.
+        transport.registerProducer(self, True)
         self._handler.on_open(self)
         self._set_timer(self._limits.idle_timeout, self.close)
 
+    def pauseProducing(self) -> None:
+        """Serve no further request until the caller has read the responses."""
+        self._write_paused = True
+
+    def resumeProducing(self) -> None:
+        """Serve further requests."""
+        self._write_paused = False
+        if not self._closed:
+            self._serve_next()
+
+    def stopProducing(self) -> None:
+        """Do nothing: `connectionLost` follows."""
+
     def dataReceived(self, data: bytes) -> None:
         """Feed the parser and serve complete requests."""
         if self._closed:
             return
         if self._in_head or not self._receiving:
             self._head_bytes += len(data)
+        self._framed_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -168,6 +187,9 @@
         if self._in_head and self._head_bytes > self._limits.max_header_bytes:
             self._reject(431)
             return
+        if self._receiving and not self._in_head and self._has_endless_framing():
+            self._reject(400)
+            return
         self._serve_next()
 
     def connectionLost(self, reason: failure.Failure | None = None) -> None:
@@ -186,6 +208,7 @@
             self._closed = True
             self._stop_timer()
             transport: typing.Any = self.transport
+            transport.unregisterProducer()
             transport.loseConnection()
 
     def on_message_begin(self) -> None:
@@ -203,12 +226,15 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header (called by the parser)."""
-        self._headers.append((name, value))
+        # Headers after the body are trailers, which are not used.
+        if self._in_head:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Process the end of the head (called by the parser)."""
         self._in_head = False
         self._head_bytes = 0
+        self._framed_bytes = 0
         self._set_timer(self._limits.idle_timeout, self.close)
         for name, value in self._headers:
             if name.lower() == b"expect" and value.lower() == b"100-continue":
@@ -234,6 +260,12 @@
         )
         self._pending.append((request, self._parser.should_keep_alive()))
 
+    def _has_endless_framing(self) -> bool:
+        framing_bytes = self._framed_bytes - self._body_bytes
+        return not reply_limits.allows_framing(
+            framing_bytes, self._body_bytes, self._limits.max_header_bytes
+        )
+
     def _is_too_large(self) -> bool:
         return self._body_bytes > self._limits.max_body_bytes
 
@@ -244,7 +276,7 @@
         if len(self._pending) > MAX_PIPELINED_REQUESTS:
             self._reject(400)
             return
-        if self._serving or not self._pending or self._closed:
+        if self._serving or not self._pending or self._closed or self._write_paused:
             return
         request, keep_alive = self._pending.popleft()
         self._serving = True
--- a/jackdawpass/connection/pool.py
+++ b/jackdawpass/connection/pool.py
@@ -7,7 +7,7 @@
 from twisted.internet import endpoints, interfaces, protocol
 
 from jackdawpass import clock
-from jackdawpass.connection import dialect, http_connection
+from jackdawpass.connection import dialect, http_connection, reply_limits
 
 # A connect takes 6 ms; a target that takes longer than this is considered lost.
 CONNECT_TIMEOUT_SECONDS = 0.3
@@ -23,13 +23,18 @@
 class _Factory(protocol.Factory):
     noisy = False
 
-    def __init__(self, owner: http_connection.Owner) -> None:
+    def __init__(
+        self,
+        owner: http_connection.Owner,
+        memory: reply_limits.ReplyMemory | None,
+    ) -> None:
         self._owner = owner
+        self._memory = memory
 
     def buildProtocol(
         self, addr: interfaces.IAddress | None
     ) -> http_connection.HttpConnection:
-        return http_connection.HttpConnection(self._owner)
+        return http_connection.HttpConnection(self._owner, memory=self._memory)
 
 
 class Pool:
@@ -52,6 +57,8 @@
         connection at once.
     connect_timeout : float
         Seconds after which an attempt to connect fails.
+    memory : ReplyMemory or None
+        Memory that unfinished replies share with those of other pools.
     """
 
     def __init__(
@@ -62,13 +69,14 @@
         limit: int,
         linger_seconds: float = 0.0,
         connect_timeout: float = CONNECT_TIMEOUT_SECONDS,
+        memory: reply_limits.ReplyMemory | None = None,
     ) -> None:
         self._reactor = reactor
         self._linger_seconds = linger_seconds
         self._endpoint = endpoints.TCP4ClientEndpoint(
             reactor, host, port, timeout=connect_timeout
         )
-        self._factory = _Factory(self)
+        self._factory = _Factory(self, memory)
         self._limit = limit
         self._open: set[http_connection.HttpConnection] = set()
         self._connecting = 0
--- a/jackdawpass/platform/callers.py
+++ b/jackdawpass/platform/callers.py
@@ -4,7 +4,7 @@
 
 from jackdawpass.connection import ingress
 from jackdawpass.platform import headers
-from jackdawpass.process.serving import gateway, peer_wire
+from jackdawpass.process.serving import gateway, immediate_refusals, peer_wire
 from jackdawpass.request import model, problems, records
 
 # Headers that are not copied from a caller's request, but set anew if needed.
@@ -89,7 +89,7 @@
     status = _choose_status(problem)
     fields = [(b"Content-Type", b"text/plain")]
     if status == 503:
-        retry_after = problem.retry_after or gateway.RETRY_AFTER_SECONDS
+        retry_after = problem.retry_after or immediate_refusals.RETRY_AFTER_SECONDS
         fields.append((b"Retry-After", b"%.3f" % retry_after))
     return ingress.OutgoingResponse(status, tuple(fields), problem.detail.encode())
 
--- a/jackdawpass/platform/node_file.py
+++ b/jackdawpass/platform/node_file.py
@@ -48,6 +48,7 @@
     "limits.cpu_share": _parse_number,
     "limits.cores": _parse_number,
     "limits.link_mbps": _parse_number,
+    "limits.memory_mb": _parse_number,
     "bounds.grace_s": _parse_number,
     "bounds.retry_budget_ratio": _parse_number,
     "bounds.retry_window_s": _parse_number,
@@ -92,6 +93,7 @@
                 slack=values["bounds.retry_budget_slack"],
                 window=values["bounds.retry_window_s"],
             ),
+            memory_bytes=round(values["limits.memory_mb"] * 1024 * 1024),
         )
     )
 
--- a/jackdawpass/process/dispatcher.py
+++ b/jackdawpass/process/dispatcher.py
@@ -2,11 +2,14 @@
 
 import typing
 
-from jackdawpass.connection import dialect, pool
+from jackdawpass.connection import dialect, pool, reply_limits
 from jackdawpass.process import channel, policy
 from jackdawpass.request import model, runner
 from jackdawpass.version import catalog
 
+# Memory for the unfinished replies of all targets.
+REPLY_MEMORY_BYTES = 64 * 1024 * 1024
+
 _Address = tuple[str, int]
 
 _TARGET_REMOVED = model.AttemptFailure(
@@ -38,6 +41,7 @@
         self._reactor = reactor
         self._wire = wire
         self._policy = entry_policy
+        self._reply_memory = reply_limits.ReplyMemory(REPLY_MEMORY_BYTES)
         self._channels: dict[str, channel.Channel] = {}
         self._addresses: dict[str, _Address] = {}
 
@@ -92,7 +96,13 @@
         settings = target.settings
         share = self._policy.connection_limit(target)
         self._addresses[name] = _address(target)
-        connections = pool.Pool(self._reactor, settings.host, settings.port, share)
+        connections = pool.Pool(
+            self._reactor,
+            settings.host,
+            settings.port,
+            share,
+            memory=self._reply_memory,
+        )
         self._channels[name] = channel.Channel(
             self._reactor,
             name,
--- a/jackdawpass/process/replicas.py
+++ b/jackdawpass/process/replicas.py
@@ -47,6 +47,7 @@
     (
         model.FailureKind.CONNECT_FAILED,
         model.FailureKind.CONNECTION_LOST,
+        model.FailureKind.REPLY_TOO_LARGE,
         model.FailureKind.TIMED_OUT,
         model.FailureKind.MISMATCHED_REPLY,
         model.FailureKind.TARGET_FAILED,
--- a/jackdawpass/process/serving/forwarding.py
+++ b/jackdawpass/process/serving/forwarding.py
@@ -6,29 +6,16 @@
 import random
 import typing
 
-from twisted.internet import task
-
 from jackdawpass import clock
-from jackdawpass.connection import dialect, http_connection, ingress, pool
-from jackdawpass.process import logs
-from jackdawpass.process.serving import aggregators, peer_wire
-
-_logger = logs.get_logger(__name__)
-
-# Interval of pings to an aggregator, and their timeout. A round trip in a zone takes
-# 0.2 ms, and a lost aggregator also loses the requests forwarded to it.
-PING_SECONDS = 0.4
-# A tick that is this late means that this instance stalled, not the aggregator.
-STALL_SECONDS = 0.25
-CONNECT_TIMEOUT_SECONDS = 0.2
+from jackdawpass.connection import dialect, http_connection, ingress, reply_limits
+from jackdawpass.process.serving import aggregator_link, aggregators, peer_wire
+
 # How long stale aggregators are trusted before this instance checks the store itself: a
 # change has at least three seconds to come into force.
 STALE_SECONDS = 0.4
 # How long aggregators of other zones are pinged after the last time that no local one
 # was ready. The pings cross zones, where traffic is charged.
 REMOTE_LINK_SECONDS = 5.0
-# Concurrent requests from one instance to one aggregator.
-MAX_CONNECTIONS = 24
 # Time before the caller's deadline at which a forwarded request is answered with 504.
 ANSWER_MARGIN_SECONDS = 0.005
 
@@ -42,108 +29,6 @@
 _TIMEOUT_ANSWER = ingress.OutgoingResponse(504, (), b"no answer before the deadline")
 
 
-class AggregatorLink:
-    """Connections to one aggregator, and its last reported state."""
-
-    def __init__(self, reactor: typing.Any, member: aggregators.Member) -> None:
-        self._reactor = reactor
-        self.member = member
-        self.report = peer_wire.Report(peer_wire.State.UNREADY, 0)
-        self.forwarded: set[ForwardedRequest] = set()
-        self._pool = pool.Pool(
-            reactor,
-            member.host,
-            member.port,
-            MAX_CONNECTIONS,
-            connect_timeout=CONNECT_TIMEOUT_SECONDS,
-        )
-        self._ping: http_connection.HttpConnection | None = None
-        self._ping_pending = False
-        self._ticked_at = 0.0
-        self._ticker = task.LoopingCall(self._tick)
-        self._ticker.clock = reactor
-
-    @property
-    def pool(self) -> pool.Pool:
-        """Connection pool to the aggregator."""
-        return self._pool
-
-    def start(self) -> None:
-        """Start pinging the aggregator."""
-        self._ticked_at = clock.monotonic()
-        self._ticker.start(PING_SECONDS, now=True)
-
-    def stop(self) -> None:
-        """Stop pinging; requests already forwarded continue."""
-        self._ticker.stop()
-        self._pool.close()
-
-    def update_report(self, report: peer_wire.Report) -> None:
-        """Store the aggregator's reported state and version."""
-        if report.state is not self.report.state:
-            self._log(report.state)
-        self.report = report
-
-    def mark_lost(self) -> None:
-        """Mark the aggregator unready and fail over or end its forwarded requests."""
-        if self.report.state is not peer_wire.State.UNREADY:
-            self._log(peer_wire.State.UNREADY)
-        self.report = peer_wire.Report(peer_wire.State.UNREADY, self.report.version)
-        for request in list(self.forwarded):
-            request.on_aggregator_lost()
-
-    def _log(self, state: peer_wire.State) -> None:
-        _logger.info(
-            "aggregator_changed",
-            aggregator=self.member.name,
-            state=state.value,
-            was=self.report.state.value,
-            handed=len(self.forwarded),
-        )
-
-    def _tick(self) -> None:
-        now = clock.monotonic()
-        stalled = now - self._ticked_at > PING_SECONDS + STALL_SECONDS
-        self._ticked_at = now
-        if self._ping_pending:
-            if stalled:
-                return
-            ping, self._ping = self._ping, None
-            if ping is not None:
-                ping.abort()
-            self._ping_pending = False
-            self.mark_lost()
-        self._ping_pending = True
-        self._pool.acquire(self._on_connection)
-
-    def _on_connection(self, connection: http_connection.HttpConnection | None) -> None:
-        if connection is None:
-            self._ping_pending = False
-            self.mark_lost()
-            return
-        if not self._ping_pending or self._ping is not None:
-            self._pool.release(connection)
-            return
-        self._ping = connection
-        connection.send(peer_wire.PING, self._on_ping_reply)
-
-    def _on_ping_reply(
-        self, outcome: dialect.HttpReply | http_connection.ExchangeError
-    ) -> None:
-        ping, self._ping = self._ping, None
-        self._ping_pending = False
-        if isinstance(outcome, http_connection.ExchangeError) or ping is None:
-            if outcome is not http_connection.ExchangeError.STALE:
-                self.mark_lost()
-            return
-        self._pool.release(ping)
-        report = peer_wire.decode_report(outcome)
-        if report is None:
-            self.mark_lost()
-        else:
-            self.update_report(report)
-
-
 class ForwardedRequest:
     """A request forwarded to an aggregator."""
 
@@ -163,7 +48,7 @@
         self._on_response = on_response
         self._fallback = fallback
         self._local_exchange: ingress.Exchange | None = None
-        self._link: AggregatorLink | None = None
+        self._link: aggregator_link.AggregatorLink | None = None
         self._connection: http_connection.HttpConnection | None = None
         self._tried: set[str] = set()
         self._ended = False
@@ -198,7 +83,9 @@
             self._finish(_LOST_ANSWER)
 
     def _on_connection(
-        self, link: AggregatorLink, connection: http_connection.HttpConnection | None
+        self,
+        link: aggregator_link.AggregatorLink,
+        connection: http_connection.HttpConnection | None,
     ) -> None:
         if self._link is not link:
             if connection is not None:
@@ -268,12 +155,20 @@
         The process's reactor.
     generator : random.Random
         Breaks ties between equally good aggregators.
+    memory : ReplyMemory or None
+        Memory for unfinished replies.
     """
 
-    def __init__(self, reactor: typing.Any, generator: random.Random) -> None:
+    def __init__(
+        self,
+        reactor: typing.Any,
+        generator: random.Random,
+        memory: reply_limits.ReplyMemory | None = None,
+    ) -> None:
         self._reactor = reactor
         self._random = generator
-        self._links: dict[str, AggregatorLink] = {}
+        self._memory = memory
+        self._links: dict[str, aggregator_link.AggregatorLink] = {}
         self._local: dict[str, aggregators.Member] = {}
         # Aggregators of other zones; linked only while no local one is ready.
         self._remote: dict[str, aggregators.Member] = {}
@@ -340,14 +235,18 @@
                 self._links.pop(name).stop()
         for name, member in wanted.items():
             if name not in self._links:
-                self._links[name] = AggregatorLink(self._reactor, member)
+                self._links[name] = aggregator_link.AggregatorLink(
+                    self._reactor, member, self._memory
+                )
                 self._links[name].start()
 
     def on_version(self, version: int) -> None:
         """Record the configuration version of an answer."""
         self._version = max(self._version, version)
 
-    def choose(self, tried: collections.abc.Collection[str]) -> AggregatorLink | None:
+    def choose(
+        self, tried: collections.abc.Collection[str]
+    ) -> aggregator_link.AggregatorLink | None:
         """Return the aggregator for a request, or None if none is usable."""
         usable = [
             link
@@ -361,7 +260,7 @@
         least = min(len(link.forwarded) for link in chosen)
         return self._random.choice([x for x in chosen if len(x.forwarded) == least])
 
-    def _rank(self, link: AggregatorLink) -> tuple[bool, int, bool]:
+    def _rank(self, link: aggregator_link.AggregatorLink) -> tuple[bool, int, bool]:
         """Return the sort key of an aggregator; the lowest is tried first."""
         report = link.report
         is_older = report.version < self._version
--- a/jackdawpass/process/serving/front.py
+++ b/jackdawpass/process/serving/front.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer, error, task
 
 from jackdawpass import clock
-from jackdawpass.connection import ingress
+from jackdawpass.connection import ingress, reply_limits
 from jackdawpass.process import logs
 from jackdawpass.process.serving import (
     aggregators,
@@ -38,6 +38,9 @@
 AGGREGATOR_SHARE = 0.75
 FALLBACK_SHARE = 0.2
 
+# Share of the process's memory that unfinished replies may use.
+REPLY_MEMORY_SHARE = 0.125
+
 
 class Adapter(store_watcher.Source, handlers.CallerDialect, typing.Protocol):
     """Translation between this package and the platform's protocols."""
@@ -77,6 +80,9 @@
         self._adapter = adapter
         self._random = generator
         self._metrics = prometheus_metrics.PrometheusMetrics()
+        memory = reply_limits.ReplyMemory(
+            round(REPLY_MEMORY_SHARE * options.memory_bytes)
+        )
         self._gateway = gateway.Gateway(
             reactor,
             options.zone,
@@ -86,8 +92,9 @@
             generator,
             self._on_suspected_partition,
             self._metrics,
+            memory,
         )
-        self._forwarder = forwarding.Forwarder(reactor, generator)
+        self._forwarder = forwarding.Forwarder(reactor, generator, memory)
         self._callers = handlers.CallerHandler(
             reactor, adapter, self._gateway, self._forwarder, self
         )
--- a/jackdawpass/process/serving/gateway.py
+++ b/jackdawpass/process/serving/gateway.py
@@ -2,17 +2,19 @@
 
 import collections.abc
 import dataclasses
+import functools
 import math
 import random
 import typing
 
 from jackdawpass import clock
-from jackdawpass.connection import dialect, ingress
+from jackdawpass.connection import dialect, ingress, reply_limits
 from jackdawpass.process import shares
 from jackdawpass.process.serving import (
     aggregators,
     feedback,
     group_router,
+    immediate_refusals,
     peer_wire,
     peers,
     prometheus_metrics,
@@ -36,13 +38,9 @@
 # Instances assumed to share a target while their number is unknown. A high value is
 # safe: it only lowers this instance's share of connections and repeats.
 ASSUMED_INSTANCES = 64
-# A target works off a full queue of short requests in about this time.
-RETRY_AFTER_SECONDS = 0.1
 # The last answer leaves this long before the caller's deadline, to arrive in time.
 ANSWER_MARGIN_SECONDS = 0.010
 MIN_DEADLINE_SECONDS = 0.001
-# The load balancer takes an isolated instance out of rotation within this time.
-ISOLATED_RETRY_SECONDS = 1.0
 # Concurrent subqueries from this instance to one instance of another zone.
 PEER_CONNECTIONS = 16
 
@@ -97,6 +95,8 @@
         Called when other zones seem to be unreachable.
     metrics : PrometheusMetrics
         Metrics to update.
+    memory : ReplyMemory or None
+        Memory for unfinished replies.
     """
 
     def __init__(
@@ -109,6 +109,7 @@
         generator: random.Random,
         on_suspected_partition: collections.abc.Callable[[], None],
         metrics: prometheus_metrics.PrometheusMetrics,
+        memory: reply_limits.ReplyMemory | None = None,
     ) -> None:
         self._reactor = reactor
         self._random = generator
@@ -118,9 +119,9 @@
         self._feedback = feedback.AttemptFeedback(
             zone, self._targets, self._peers, on_suspected_partition, metrics
         )
-        self._sender = sender.Sender(reactor, wire, self._feedback)
+        self._sender = sender.Sender(reactor, wire, self._feedback, memory=memory)
         self._subquery_sender = sender.Sender(
-            reactor, subquery_wire, self._feedback, linger_seconds=0.0
+            reactor, subquery_wire, self._feedback, linger_seconds=0.0, memory=memory
         )
         self._dispatcher = sender.Dispatcher(self._sender, self._subquery_sender)
         self._table: routes.RoutingTable | None = None
@@ -194,14 +195,14 @@
         now = clock.monotonic()
         observer = request_log.RequestLog(now, request.request_id)
         if self._table is None:
-            return _refuse(NO_CONFIGURATION, observer, on_outcome)
+            return _refuse(immediate_refusals.NO_CONFIGURATION, observer, on_outcome)
         route = self._table.match(request.host, request.path)
         if route is None:
-            return _refuse(_NO_ROUTE, observer, on_outcome)
+            return _refuse(immediate_refusals.NO_ROUTE, observer, on_outcome)
         observer.routed(route.name, self._table.version)
         groups = route.shards or (route.pick_group(self._random.random()),)
         if self._isolated and self._lacks_local_coverage(now, route, groups):
-            return _refuse(_ISOLATED, observer, on_outcome)
+            return _refuse(immediate_refusals.ISOLATED, observer, on_outcome)
 
         def finish(outcome: Outcome) -> None:
             observer.finished(outcome)
@@ -310,7 +311,9 @@
             budget,
             self._subquery_sender.has_channel,
         )
-        make_merge = records.RecordMerge if route.shards else records.SingleReplyMerge
+        make_merge: machine.MergeFactory = records.SingleReplyMerge
+        if route.shards:
+            make_merge = functools.partial(records.RecordMerge, limit=route.limit)
         snapshots = timing.NoNewerSnapshot()
         return fanout.Fanout(plan, router, hedging, budget, snapshots, make_merge)
 
@@ -366,23 +369,6 @@
         )
 
 
-NO_CONFIGURATION = problems.not_run(
-    problems.ProblemKind.NO_CONFIGURATION,
-    "this instance has no configuration yet; retry",
-    RETRY_AFTER_SECONDS,
-)
-_ISOLATED = problems.not_run(
-    problems.ProblemKind.NO_TARGET,
-    "this instance is cut off from the zones that hold the request's shards; "
-    "retry at another one",
-    ISOLATED_RETRY_SECONDS,
-)
-_NO_ROUTE = problems.not_run(
-    problems.ProblemKind.UNKNOWN_SERVICE,
-    "no route matches the host and path; check them against the configuration",
-)
-
-
 def _refuse(
     problem: problems.Problem, observer: request_log.RequestLog, on_outcome: OnOutcome
 ) -> ingress.Exchange:
@@ -393,6 +379,8 @@
 
 def _with_capped_retry_after(outcome: Outcome) -> Outcome:
     if isinstance(outcome, problems.Problem) and outcome.retry_after is not None:
-        if outcome.retry_after > RETRY_AFTER_SECONDS:
-            return dataclasses.replace(outcome, retry_after=RETRY_AFTER_SECONDS)
+        if outcome.retry_after > immediate_refusals.RETRY_AFTER_SECONDS:
+            return dataclasses.replace(
+                outcome, retry_after=immediate_refusals.RETRY_AFTER_SECONDS
+            )
     return outcome
--- a/jackdawpass/process/serving/handlers.py
+++ b/jackdawpass/process/serving/handlers.py
@@ -8,7 +8,13 @@
 
 from jackdawpass import clock
 from jackdawpass.connection import ingress
-from jackdawpass.process.serving import forwarding, gateway, peer_wire, subqueries
+from jackdawpass.process.serving import (
+    forwarding,
+    gateway,
+    immediate_refusals,
+    peer_wire,
+    subqueries,
+)
 from jackdawpass.request import model
 from jackdawpass.version import routes
 
@@ -249,7 +255,7 @@
         return self._serve(request, on_response)
 
     def _refuse(self, on_response: ingress.OnResponse) -> ingress.Exchange:
-        on_response(self._wire.encode_outcome(gateway.NO_CONFIGURATION))
+        on_response(self._wire.encode_outcome(immediate_refusals.NO_CONFIGURATION))
         return ingress.FinishedExchange()
 
 
--- /dev/null
+++ b/jackdawpass/process/serving/immediate_refusals.py
@@ -0,0 +1,24 @@
+"""Problems of requests that are refused before anything is sent for them."""
+
+from jackdawpass.request import problems
+
+# A target works off a full queue of short requests in about this time.
+RETRY_AFTER_SECONDS = 0.1
+# The load balancer takes an isolated instance out of rotation within this time.
+ISOLATED_RETRY_SECONDS = 1.0
+
+NO_CONFIGURATION = problems.not_run(
+    problems.ProblemKind.NO_CONFIGURATION,
+    "this instance has no configuration yet; retry",
+    RETRY_AFTER_SECONDS,
+)
+ISOLATED = problems.not_run(
+    problems.ProblemKind.NO_TARGET,
+    "this instance is cut off from the zones that hold the request's shards; "
+    "retry at another one",
+    ISOLATED_RETRY_SECONDS,
+)
+NO_ROUTE = problems.not_run(
+    problems.ProblemKind.UNKNOWN_SERVICE,
+    "no route matches the host and path; check them against the configuration",
+)
--- a/jackdawpass/process/serving/sender.py
+++ b/jackdawpass/process/serving/sender.py
@@ -3,7 +3,7 @@
 import collections.abc
 import typing
 
-from jackdawpass.connection import dialect, pool
+from jackdawpass.connection import dialect, pool, reply_limits
 from jackdawpass.process import submission
 from jackdawpass.process.serving import targets
 from jackdawpass.request import model, runner
@@ -111,6 +111,8 @@
     linger_seconds : float
         How long the reply to a cancelled attempt may take before its connection is
         closed.
+    memory : ReplyMemory or None
+        Memory for unfinished replies.
     """
 
     def __init__(
@@ -119,11 +121,13 @@
         wire: dialect.TargetDialect,
         observer: Observer,
         linger_seconds: float = LINGER_SECONDS,
+        memory: reply_limits.ReplyMemory | None = None,
     ) -> None:
         self._reactor = reactor
         self._wire = wire
         self._observer = observer
         self._linger_seconds = linger_seconds
+        self._memory = memory
         self._channels: dict[str, _Channel] = {}
 
     def apply(
@@ -174,6 +178,7 @@
             limit,
             self._linger_seconds,
             CONNECT_TIMEOUT_SECONDS,
+            self._memory,
         )
         return _Channel(state, connections, self._wire, self._observer)
 
--- a/jackdawpass/process/serving/settings.py
+++ b/jackdawpass/process/serving/settings.py
@@ -45,6 +45,8 @@
         Seconds from the stop signal until the process is killed.
     repeats : RepeatLimits
         Limits on the repeats of all instances together.
+    memory_bytes : int
+        Memory that the process may use.
     metrics_port : int
         Port of the metrics page; 0 for none.
     log_lines_per_second, log_errors_per_second : float
@@ -60,6 +62,7 @@
     capacity: float
     stop_seconds: float
     repeats: repeats.RepeatLimits
+    memory_bytes: int
     metrics_port: int = 9464
     log_lines_per_second: float = 40.0
     log_errors_per_second: float = 40.0
--- a/jackdawpass/process/submission.py
+++ b/jackdawpass/process/submission.py
@@ -7,15 +7,20 @@
 
 from jackdawpass import clock
 from jackdawpass.connection import dialect, http_connection, pool
-from jackdawpass.process import priority_queue
+from jackdawpass.process import logs, priority_queue
 from jackdawpass.request import model, runner
 
+_logger = logs.get_logger(__name__)
+
 _CONNECT_FAILED = model.AttemptFailure(
     model.FailureKind.CONNECT_FAILED, model.Execution.NOT_SENT
 )
 _CONNECTION_LOST = model.AttemptFailure(
     model.FailureKind.CONNECTION_LOST, model.Execution.MAY_HAVE_RUN
 )
+_REPLY_TOO_LARGE = model.AttemptFailure(
+    model.FailureKind.REPLY_TOO_LARGE, model.Execution.MAY_HAVE_RUN
+)
 EXPIRED = model.AttemptFailure(
     model.FailureKind.QUEUE_EXPIRED, model.Execution.NOT_SENT
 )
@@ -164,6 +169,15 @@
     ) -> None:
         connection, self._connection = self._connection, None
         assert connection is not None
+        if outcome is http_connection.ExchangeError.TOO_LARGE:
+            _logger.error(
+                "reply_too_large",
+                self._attempt.request_id,
+                target=self._attempt.target,
+                received_bytes=connection.received_bytes,
+            )
+            self.fail(_REPLY_TOO_LARGE)
+            return
         if isinstance(outcome, http_connection.ExchangeError):
             self.fail(_CONNECTION_LOST)
             return
--- a/jackdawpass/request/model.py
+++ b/jackdawpass/request/model.py
@@ -129,6 +129,7 @@
     CONNECT_FAILED = "connect_failed"
     DECLINED = "declined"
     CONNECTION_LOST = "connection_lost"
+    REPLY_TOO_LARGE = "reply_too_large"
     TIMED_OUT = "timed_out"
     SHED = "shed"
     DRAINING = "draining"
--- a/jackdawpass/request/records.py
+++ b/jackdawpass/request/records.py
@@ -7,6 +7,9 @@
 from jackdawpass.request import merge
 
 RECORD_BYTES = 16
+# A body with more records than this multiple of the limit is reduced when it is added.
+# Sorting the records of usual bodies twice would cost more than the memory is worth.
+MAX_KEPT_RATIO = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,7 +68,20 @@
 
 
 class RecordMerge(merge.ShardReplies):
-    """Merge of bodies that are sequences of records."""
+    """Merge of bodies that are sequences of records.
+
+    Parameters
+    ----------
+    shards : frozenset of int
+        Shards of the request.
+    limit : int or None
+        Number of records that the answer needs at most. Much larger bodies are reduced
+        as they are added, so that the memory of a request does not depend on targets.
+    """
+
+    def __init__(self, shards: frozenset[int], limit: int | None = None) -> None:
+        super().__init__(shards)
+        self._limit = limit
 
     def add(self, shard: int, results: RawReply) -> bool:
         """Add the reply of a shard; a merged reply replaces an earlier one.
@@ -73,6 +89,7 @@
         The records of a merged reply cannot be attributed to single shards, so the
         merged reply is used for all of its shards.
         """
+        results = self._reduced(results)
         if not results.is_merged:
             return super().add(shard, results)
         was_uncovered = shard in self._uncovered
@@ -89,6 +106,14 @@
         signatures = tuple(reply.signature for reply in self._replies.values())
         return TopRecords(tuple(self._replies), signatures, b"".join(greatest))
 
+    def _reduced(self, reply: RawReply) -> RawReply:
+        if self._limit is None:
+            return reply
+        if len(reply.body) <= MAX_KEPT_RATIO * self._limit * RECORD_BYTES:
+            return reply
+        greatest = b"".join(heapq.nlargest(self._limit, _records(reply)))
+        return dataclasses.replace(reply, headers=(), body=greatest)
+
 
 class SingleReplyMerge(merge.ShardReplies):
     """Merge that holds the reply of a single shard."""
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -31,6 +31,7 @@
 cpu_share = 0.5
 cores = 1
 link_mbps = 100.0
+memory_mb = 256
 [bounds]
 grace_s = 6
 retry_budget_ratio = 0.2
--- a/tests/connection/test_ingress.py
+++ b/tests/connection/test_ingress.py
@@ -201,3 +201,36 @@
     assert caller.written == ingress.INTERIM_RESPONSE
     caller.answer(0)
     assert caller.written.startswith(ingress.INTERIM_RESPONSE + b"HTTP/1.1 200 OK")
+
+
+@pytest.mark.parametrize(
+    "repeated", [b"a: b\r\n", b"1;" + b"x" * 30, b"a:" + b"x" * 30]
+)
+def test_framing_without_end_is_refused(caller: Caller, repeated: bytes) -> None:
+    """Guards against trailers or chunk extensions that fill the memory."""
+    head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    caller.send(head + (b"" if repeated.startswith(b"1;") else b"0\r\n"))
+    for _ in range(20):
+        caller.send(repeated)
+    assert caller.status == b"400"
+    assert caller.transport.disconnecting
+    assert not caller.handler.served
+
+
+def test_caller_that_does_not_read_is_not_served_further(caller: Caller) -> None:
+    """Guards against responses that pile up for a caller that only sends."""
+    caller.send(GET)
+    caller.connection.pauseProducing()
+    caller.answer(0)
+    caller.send(GET)
+    assert len(caller.handler.served) == 1
+    caller.connection.resumeProducing()
+    assert len(caller.handler.served) == 2
+
+
+def test_connection_closes_while_its_caller_does_not_read(caller: Caller) -> None:
+    """Guards against a producer that keeps a closing connection open."""
+    caller.connection.pauseProducing()
+    caller.connection.close()
+    assert caller.transport.producer is None
+    assert caller.transport.disconnecting
--- a/tests/platform/test_node_file.py
+++ b/tests/platform/test_node_file.py
@@ -19,6 +19,7 @@
 cpu_share = 0.5
 cores = 2
 link_mbps = 100
+memory_mb = 200
 [bounds]
 grace_s = 6
 retry_budget_ratio = 0.2
@@ -39,6 +40,7 @@
     assert parsed.capacity == 100
     assert parsed.repeats.slack == 129
     assert parsed.stop_seconds == 6
+    assert parsed.memory_bytes == 200 * 1024 * 1024
 
 
 def test_all_faults_are_reported_at_once() -> None:
--- a/tests/process/serving/test_forwarding.py
+++ b/tests/process/serving/test_forwarding.py
@@ -10,7 +10,7 @@
 
 from jackdawpass import clock
 from jackdawpass.connection import ingress
-from jackdawpass.process.serving import aggregators, forwarding
+from jackdawpass.process.serving import aggregator_link, aggregators, forwarding
 
 PONG = (
     b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
@@ -124,9 +124,9 @@
     """Guards against requests that wait for a frozen aggregator."""
     ready_harness.forward()
     ready_harness.connect()
-    ready_harness.reactor.advance(forwarding.PING_SECONDS)
+    ready_harness.reactor.advance(aggregator_link.PING_SECONDS)
     ready_harness.connect()
-    ready_harness.reactor.advance(forwarding.PING_SECONDS)
+    ready_harness.reactor.advance(aggregator_link.PING_SECONDS)
     assert [answer.status for answer in ready_harness.answers] == [502]
     assert not ready_harness.forwarder.reachable
 
@@ -135,7 +135,7 @@
     ready_harness: Harness,
 ) -> None:
     """Guards against dropping all aggregators after a pause of this process."""
-    ready_harness.reactor.advance(forwarding.PING_SECONDS)
+    ready_harness.reactor.advance(aggregator_link.PING_SECONDS)
     ready_harness.connect()
     ready_harness.reactor.advance(5.0)
     assert ready_harness.forwarder.ready
@@ -256,7 +256,7 @@
     harness.make_ready(0, state=b"stale")
     harness.forwarder.tick(0.0)
     harness.make_ready(9)
-    harness.reactor.advance(forwarding.PING_SECONDS)
+    harness.reactor.advance(aggregator_link.PING_SECONDS)
     harness.connect()
     harness.reply(0, PONG % (1, b"ready"))
     assert chosen_name(harness) == "x"
