Let a stopping aggregator finish the requests forwarded to it

Cause: a planned stop counted only callers' connections with a request as busy, so an aggregator without callers of its own exited 2.6 s after SIGTERM and cut off forwarded requests and subqueries that took longer; their callers got 502.

Change: PeerHandler keeps its connections, and those with a request count too.

--- a/jackdawpass/process/serving/front.py
+++ b/jackdawpass/process/serving/front.py
@@ -321,7 +321,9 @@
     def _update_shutdown(self, now: float) -> None:
         connections = self._callers.connections
         idle = [connection for connection in connections if connection.idle]
-        step = self._shutdown.next_step(now, len(connections) - len(idle))
+        busy_peers = sum(not each.idle for each in self._peers.connections)
+        busy = len(connections) - len(idle) + busy_peers
+        step = self._shutdown.next_step(now, busy)
         if step is shutdown.Step.CLOSE_IDLE:
             for connection in idle:
                 connection.close()
--- a/jackdawpass/process/serving/handlers.py
+++ b/jackdawpass/process/serving/handlers.py
@@ -271,6 +271,7 @@
         self._wire = wire
         self._gateway = request_gateway
         self._instance = instance
+        self.connections: set[ingress.CallerConnection] = set()
 
     @property
     def caller_limits(self) -> routes.CallerLimits:
@@ -304,10 +305,12 @@
         return peer_wire.Report(state, version)
 
     def on_open(self, connection: ingress.CallerConnection) -> None:
-        """Do nothing."""
+        """Add a new connection."""
+        self.connections.add(connection)
 
     def on_closed(self, connection: ingress.CallerConnection) -> None:
-        """Do nothing."""
+        """Remove a closed connection."""
+        self.connections.discard(connection)
 
     def handle(
         self, request: ingress.IncomingRequest, on_response: ingress.OnResponse
--- a/tests/platform/test_tier_process.py
+++ b/tests/platform/test_tier_process.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import concurrent.futures
 import json
 import pathlib
 import signal
@@ -20,6 +21,7 @@
     site.route("lookup", service="s0"),
     site.route("reserve", service="s0", type="non_idempotent"),
     site.route("search", fanout=["s0", "s1"], top_k=3, min_shard_ratio=0.5),
+    site.route("report", service="s0", type="non_idempotent", timeout_ms=5000),
 ]
 
 
@@ -50,6 +52,11 @@
     return bool(log_lines) and bool(json.loads(log_lines[-1])["asks_targets"])
 
 
+def _ready_links(front: site.Front) -> int:
+    changes = [line for line in front.process.lines if '"aggregator_changed"' in line]
+    return sum('"state":"ready"' in line for line in changes)
+
+
 @pytest.fixture
 def zone(processes: rig.Rig, tmp_path: pathlib.Path) -> collections.abc.Iterator[Zone]:
     """Start four fronts, two targets of each of two groups, and three routes."""
@@ -129,6 +136,23 @@
     assert stopping.process.wait(6.0) == 0
 
 
+def test_stopping_aggregators_finish_long_requests(zone: Zone) -> None:
+    """Guards against an aggregator that exits while it serves forwarded requests."""
+    for name in ("s0-a", "s0-b"):
+        zone.deployment.inject_faults(zone.deployment.targets[name], slow_ms=3500)
+    forwarder = zone.forwarders[0]
+    rig.wait_for(lambda: _ready_links(forwarder) == 2, "links to both aggregators")
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        replies = [
+            pool.submit(forwarder.request, "/report/x", f"r{n}", 5000, "POST", b"data")
+            for n in range(4)
+        ]
+        time.sleep(0.3)
+        for front in zone.aggregators:
+            front.process.signal(signal.SIGTERM)
+        assert [reply.result().status for reply in replies] == [200] * 4
+
+
 def test_answers_never_return_to_an_older_version(zone: Zone) -> None:
     """Guards against returning to an older version because aggregators differ."""
     forwarder = zone.forwarders[0]
