--- a/jackdawpass/commands/console.py
+++ b/jackdawpass/commands/console.py
@@ -3,12 +3,10 @@
 import argparse
 import collections.abc
 import dataclasses
-import http.client
 import re
 import typing
 
 from jackdawpass import validation
-from jackdawpass.connection import blocking
 
 EXIT_DONE = 0
 EXIT_FAILED = 1
@@ -97,36 +95,3 @@
             f"{text!r} is not an address; write HOST:PORT, such as 127.0.0.1:8080"
         )
     return Address(host, int(port))
-
-
-def call_instance(
-    address: Address,
-    method: str,
-    path: str,
-    document: object = None,
-    headers: blocking.Headers | None = None,
-    timeout: float = CALL_TIMEOUT_SECONDS,
-) -> blocking.HttpReply:
-    """Send an HTTP request to an instance; `timeout` is in seconds.
-
-    Raises
-    ------
-    Failed
-        If the instance cannot be reached or its reply is not JSON.
-    """
-    url = f"http://{address}{path}"
-    try:
-        reply = blocking.call(method, url, document, headers, timeout)
-    except (OSError, http.client.HTTPException) as error:
-        raise Failed(
-            f"{address} cannot be reached ({error}); check the address and that the "
-            "instance runs"
-        ) from None
-    try:
-        _ = reply.document
-    except ValueError:
-        raise Failed(
-            f"{address} did not reply with JSON; check that an entry instance listens "
-            "there"
-        ) from None
-    return reply
--- a/jackdawpass/commands/drain.py
+++ b/jackdawpass/commands/drain.py
@@ -5,7 +5,7 @@
 import typing
 
 from jackdawpass import clock
-from jackdawpass.commands import console, reports
+from jackdawpass.commands import console, instance_call, reports
 
 EXAMPLE = """example:
   jackdawpass drain 127.0.0.1:8080 --wait-seconds 90
@@ -30,7 +30,7 @@
 
 def run(arguments: argparse.Namespace) -> int:
     """Start the drain and wait until the instance has stopped listening."""
-    reply = console.call_instance(arguments.address, "POST", "/v1/drain")
+    reply = instance_call.call_instance(arguments.address, "POST", "/v1/drain")
     if reply.status != 202:
         raise console.Failed(
             f"the instance refused to drain (HTTP status {reply.status}); check that "
@@ -51,7 +51,7 @@
     deadline = clock.monotonic() + seconds
     while clock.monotonic() < deadline:
         try:
-            console.call_instance(address, "GET", "/v1/status")
+            instance_call.call_instance(address, "GET", "/v1/status")
         except console.Failed:
             return
         time.sleep(POLL_SECONDS)
--- a/jackdawpass/commands/query.py
+++ b/jackdawpass/commands/query.py
@@ -5,7 +5,7 @@
 import typing
 import urllib.parse
 
-from jackdawpass.commands import console, reports
+from jackdawpass.commands import console, instance_call, reports
 from jackdawpass.connection import blocking
 from jackdawpass.request import model
 
@@ -45,7 +45,7 @@
     timeout_seconds = DEFAULT_WAIT_SECONDS
     if arguments.timeout_ms is not None:
         timeout_seconds = max(0.0, arguments.timeout_ms / 1000) + TIMEOUT_MARGIN_SECONDS
-    reply = console.call_instance(
+    reply = instance_call.call_instance(
         arguments.address,
         "POST",
         f"/v1/services/{_quote_path_segment(arguments.service)}/query",
--- a/jackdawpass/commands/status.py
+++ b/jackdawpass/commands/status.py
@@ -3,7 +3,7 @@
 import argparse
 import typing
 
-from jackdawpass.commands import console, reports
+from jackdawpass.commands import console, instance_call, reports
 
 EXAMPLE = """example:
   jackdawpass status 127.0.0.1:8080 127.0.0.1:8081
@@ -35,7 +35,7 @@
     failures = []
     for address in arguments.addresses:
         try:
-            reply = console.call_instance(address, "GET", "/v1/status")
+            reply = instance_call.call_instance(address, "GET", "/v1/status")
         except console.Failed as error:
             failures.append(str(error))
             continue
--- a/jackdawpass/commands/timeline.py
+++ b/jackdawpass/commands/timeline.py
@@ -5,7 +5,7 @@
 import pathlib
 import typing
 
-from jackdawpass.commands import console, reports
+from jackdawpass.commands import console, instance_call, reports
 from jackdawpass.process import events
 from jackdawpass.timeline import decoding, filters, merge, render_html, render_text
 
@@ -99,7 +99,7 @@
     last_seq: int | None = None
     # Reads up to the last event at the start, since a busy instance keeps emitting.
     while last_seq is None or after < last_seq:
-        reply = console.call_instance(address, "GET", f"/v1/events?after={after}")
+        reply = instance_call.call_instance(address, "GET", f"/v1/events?after={after}")
         try:
             page = decoding.decode_page(reply.document)
         except ValueError:
--- a/jackdawpass/connection/http_connection.py
+++ b/jackdawpass/connection/http_connection.py
@@ -49,6 +49,9 @@
 class Owner(typing.Protocol):
     """Owner of a connection, which receives its events."""
 
+    def on_open(self, connection: "HttpConnection") -> None:
+        """Add a connection that can carry a request."""
+
     def on_closed(self, connection: "HttpConnection") -> None:
         """Remove a connection that is closed."""
 
@@ -177,8 +180,11 @@
         """Disable Nagle's algorithm and detect a peer that no longer responds."""
         transport: typing.Any = self.transport
         transport.setTcpNoDelay(True)
-        if not interfaces.ISystemHandle.providedBy(transport):
-            return
+        if interfaces.ISystemHandle.providedBy(transport):
+            self._set_timeouts(transport)
+        self._owner.on_open(self)
+
+    def _set_timeouts(self, transport: typing.Any) -> None:
         handle: typing.Any = transport.getHandle()
         for option, value in (
             (socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS),
--- a/jackdawpass/connection/pool.py
+++ b/jackdawpass/connection/pool.py
@@ -4,7 +4,8 @@
 import collections.abc
 import typing
 
-from twisted.internet import endpoints, interfaces, protocol
+from twisted.internet import interfaces, protocol
+from twisted.python import failure
 
 from jackdawpass import clock
 from jackdawpass.connection import dialect, http_connection, reply_limits
@@ -20,12 +21,18 @@
 OnConnection = collections.abc.Callable[[http_connection.HttpConnection | None], None]
 
 
-class _Factory(protocol.Factory):
+class _Factory(protocol.ClientFactory):
+    """Factory of the connections of a pool.
+
+    `twisted.internet.endpoints` is not used: its import takes 40 ms at each start, and
+    its wrapper would be called for each read of each connection.
+    """
+
     noisy = False
 
     def __init__(
         self,
-        owner: http_connection.Owner,
+        owner: "Pool",
         memory: reply_limits.ReplyMemory | None,
     ) -> None:
         self._owner = owner
@@ -36,6 +43,11 @@
     ) -> http_connection.HttpConnection:
         return http_connection.HttpConnection(self._owner, memory=self._memory)
 
+    def clientConnectionFailed(
+        self, connector: interfaces.IConnector, reason: failure.Failure
+    ) -> None:
+        self._owner.on_connect_failed()
+
 
 class Pool:
     """At most `limit` connections to a target, including opening and idle ones.
@@ -73,9 +85,9 @@
     ) -> None:
         self._reactor = reactor
         self._linger_seconds = linger_seconds
-        self._endpoint = endpoints.TCP4ClientEndpoint(
-            reactor, host, port, timeout=connect_timeout
-        )
+        self._host = host
+        self._port = port
+        self._connect_timeout = connect_timeout
         self._factory = _Factory(self, memory)
         self._limit = limit
         self._open: set[http_connection.HttpConnection] = set()
@@ -128,13 +140,16 @@
             connection.abort()
         return None
 
-    def abandon(self, connection: http_connection.HttpConnection) -> None:
+    def abandon(
+        self, connection: http_connection.HttpConnection, at_once: bool = False
+    ) -> None:
         """Abandon an exchange whose reply is no longer needed.
 
         If the reply arrives soon, keeping the connection until then is cheaper for the
-        target than a new connection.
+        target than a new connection. With `at_once`, the connection is closed instead,
+        which frees the place in the queue of a target that is full.
         """
-        if self._linger_seconds <= 0:
+        if at_once or self._linger_seconds <= 0:
             connection.abort()
             return
         timer = self._reactor.callLater(self._linger_seconds, connection.abort)
@@ -168,6 +183,21 @@
         while self._idle:
             self._idle.popleft().abort()
 
+    def on_open(self, connection: http_connection.HttpConnection) -> None:
+        """Add a new connection."""
+        self._connecting -= 1
+        self._open.add(connection)
+        self.release(connection)
+
+    def on_connect_failed(self) -> None:
+        """Refuse waiting requests if no open connection remains to wait for."""
+        self._connecting -= 1
+        if self._open:
+            self._open_more()
+        else:
+            # Another connect would fail as well.
+            self._refuse_waiting()
+
     def on_closed(self, connection: http_connection.HttpConnection) -> None:
         """Remove a closed connection and open another one for waiting requests."""
         was_idle = connection in self._idle
@@ -201,21 +231,9 @@
 
     def _connect(self) -> None:
         self._connecting += 1
-        connecting = self._endpoint.connect(self._factory)
-        connecting.addCallbacks(self._connected, self._connect_failed)
-
-    def _connected(self, connected: typing.Any) -> None:
-        self._connecting -= 1
-        self._open.add(connected)
-        self.release(connected)
-
-    def _connect_failed(self, reason: object) -> None:
-        self._connecting -= 1
-        if self._open:
-            self._open_more()
-            return
-        # No open connection remains to wait for; another connect would fail as well.
-        self._refuse_waiting()
+        self._reactor.connectTCP(
+            self._host, self._port, self._factory, self._connect_timeout
+        )
 
     def _refuse_waiting(self) -> None:
         refused, self._waiting = self._waiting, collections.deque()
--- a/tests/connection/test_http_connection.py
+++ b/tests/connection/test_http_connection.py
@@ -32,6 +32,9 @@
     def receive(self, data: bytes) -> None:
         self.connection.dataReceived(data)
 
+    def on_open(self, connection: http_connection.HttpConnection) -> None:
+        """Accept the event."""
+
     def on_closed(self, closed: http_connection.HttpConnection) -> None:
         self.events.append("closed")
 
--- a/tests/connection/test_reply_limits.py
+++ b/tests/connection/test_reply_limits.py
@@ -62,6 +62,9 @@
     def lose(self, reason: type[Exception]) -> None:
         self.connection.connectionLost(failure.Failure(reason()))
 
+    def on_open(self, connection: http_connection.HttpConnection) -> None:
+        """Accept the event."""
+
     def on_closed(self, connection: http_connection.HttpConnection) -> None:
         """Accept the event."""
 
