Refuse requests early while targets shed, and use a returned zone at once

Cancelled sub-requests kept their place in the full queues for 0.25 s. Shedding targets were avoided for up to 4 s, so that replicas were full in turn. After the cut the targets of the zone were avoided for up to 4 s more, and instances there for up to 30 s. A partial reply to a subquery ended requests with 504 at the objective, seconds before their deadline.

Change: an adaptive throttle per route refuses requests, before anything is sent and with a spread Retry-After, while most fail at full targets; attempts at a target that sheds are cancelled by closing their connection; shedding raises a target's cost but does not avoid it; the first answer after an outage of a zone clears what was learned of it; shards that a subquery leaves out are asked for directly if the answer needs them. Targets are followed as soon as an instance knows its part, not at its next tick.

--- a/jackdawpass/process/channel.py
+++ b/jackdawpass/process/channel.py
@@ -108,6 +108,10 @@
         """Close the connections as they become idle."""
         self._pool.close()
 
+    def is_full(self) -> bool:
+        """Return False: a full target gets fewer attempts by its limiter."""
+        return False
+
     def on_end(
         self,
         now: float,
--- a/jackdawpass/process/serving/feedback.py
+++ b/jackdawpass/process/serving/feedback.py
@@ -2,17 +2,20 @@
 
 import collections.abc
 
-from jackdawpass.process import submission
+from jackdawpass.process import logs, submission
 from jackdawpass.process.serving import (
     peers,
     prometheus_metrics,
     reachability,
     targets,
+    throttle,
     timing,
 )
 from jackdawpass.request import model
 from jackdawpass.version import routes
 
+_logger = logs.get_logger(__name__)
+
 # Attempts cancelled after this multiple of the typical latency count as unanswered.
 UNANSWERED_RATIO = 2.0
 _LOST_KINDS = (
@@ -37,6 +40,8 @@
         Called when other zones seem to be unreachable.
     metrics : PrometheusMetrics
         Metrics to update.
+    throttles : RouteThrottles
+        Throttles that are reset when a zone becomes reachable again.
     """
 
     def __init__(
@@ -46,13 +51,16 @@
         remote_peers: peers.Peers,
         on_suspected_partition: collections.abc.Callable[[], None],
         metrics: prometheus_metrics.PrometheusMetrics,
+        throttles: throttle.RouteThrottles,
     ) -> None:
         self._zone = zone
         self._targets = listed_targets
         self._peers = remote_peers
         self._on_suspected_partition = on_suspected_partition
         self._metrics = metrics
+        self._throttles = throttles
         self._reachability = reachability.ZoneReachability()
+        self._zone_outages = reachability.ZoneOutages()
         self._routes: dict[str, routes.Route] = {}
         self._latencies: dict[str, timing.RouteLatencies] = {}
         self._subquery_latencies: dict[str, timing.RouteLatencies] = {}
@@ -97,7 +105,9 @@
         route_latencies = self._latencies[attempt.service]
         typical = route_latencies.typical(self._routes[attempt.service])
         if state.listed.zone != self._zone:
-            self._update_reachability(now, end, UNANSWERED_RATIO * typical)
+            self._update_reachability(
+                now, state.listed.zone, end, UNANSWERED_RATIO * typical
+            )
         match end:
             case submission.Replied(latency):
                 route_latencies.add(now, latency)
@@ -107,6 +117,8 @@
             case model.AttemptFailure():
                 if end.kind is model.FailureKind.WRONG_TARGET:
                     state.on_misdirected(now)
+                elif end.kind is model.FailureKind.SHED:
+                    state.on_shed(now)
                 elif targets.is_health_signal(end):
                     state.on_failure(now)
 
@@ -119,7 +131,9 @@
     ) -> None:
         self._metrics.subquery_ended(route.name, end)
         unanswered = timing.subquery_hedge_after(route)
-        self._update_reachability(now, end, unanswered)
+        zone = self._peers.zone_of(attempt.target)
+        assert zone is not None
+        self._update_reachability(now, zone, end, unanswered)
         match end:
             case submission.Replied(latency):
                 route_latencies = self._subquery_latencies[route.name]
@@ -135,20 +149,30 @@
                 self._peers.on_failure(now, attempt.target)
 
     def _update_reachability(
-        self, now: float, end: submission.End, unanswered: float
+        self, now: float, zone: str, end: submission.End, unanswered: float
     ) -> None:
+        is_lost = False
         match end:
             case submission.Replied():
                 self._reachability.on_answer(now)
+                if self._zone_outages.on_answer(now, zone):
+                    self._on_zone_back(zone)
             case submission.Cancelled(age, is_accepted):
-                if age > unanswered and not is_accepted:
-                    self._reachability.on_failure(now)
+                is_lost = age > unanswered and not is_accepted
             case model.AttemptFailure(kind):
-                if kind in _LOST_KINDS:
-                    self._reachability.on_failure(now)
+                is_lost = kind in _LOST_KINDS
+        if is_lost:
+            self._reachability.on_failure(now)
+            self._zone_outages.on_failure(zone)
         if self._reachability.suspects_partition():
             self._on_suspected_partition()
 
+    def _on_zone_back(self, zone: str) -> None:
+        _logger.info("zone_back", other_zone=zone)
+        self._targets.forget_failures(zone)
+        self._peers.forget_failures(zone)
+        self._throttles.reset()
+
 
 def _retain(
     latencies: dict[str, timing.RouteLatencies],
--- a/jackdawpass/process/serving/front.py
+++ b/jackdawpass/process/serving/front.py
@@ -269,6 +269,7 @@
             aggregators=[member.name for member in chosen],
             instances=len(members),
         )
+        self._update_following(clock.monotonic())
 
     def _put_in_force(self, table: routes.RoutingTable) -> None:
         before = self._gateway.table
--- a/jackdawpass/process/serving/gateway.py
+++ b/jackdawpass/process/serving/gateway.py
@@ -22,6 +22,7 @@
     request_log,
     sender,
     targets,
+    throttle,
     timing,
 )
 from jackdawpass.request import (
@@ -116,8 +117,14 @@
         self._targets = targets.Targets(zone, generator)
         self._peers = peers.Peers(zone, generator)
         self._budgets = repeats.Budgets(limits)
+        self._throttles = throttle.RouteThrottles(generator)
         self._feedback = feedback.AttemptFeedback(
-            zone, self._targets, self._peers, on_suspected_partition, metrics
+            zone,
+            self._targets,
+            self._peers,
+            on_suspected_partition,
+            metrics,
+            self._throttles,
         )
         self._sender = sender.Sender(reactor, wire, self._feedback, memory=memory)
         self._subquery_sender = sender.Sender(
@@ -142,6 +149,7 @@
         self._table = table
         names = {route.name for route in table.routes}
         self._feedback.apply_routes(table.routes)
+        self._throttles.apply_routes(table.routes)
         self._budgets.keep(set(table.groups))
         self._metrics.keep(names, table.groups.keys())
         self._metrics.set("configuration_version", table.version)
@@ -203,10 +211,16 @@
         groups = route.shards or (route.pick_group(self._random.random()),)
         if self._isolated and self._lacks_local_coverage(now, route, groups):
             return _refuse(immediate_refusals.ISOLATED, observer, on_outcome)
+        refusal = self._throttles.refusal(now, route, request.timeout)
+        if refusal is not None:
+            self._metrics.finished(route.name, 0.0, refusal)
+            return _refuse(refusal, observer, on_outcome)
 
         def finish(outcome: Outcome) -> None:
+            finished_at = clock.monotonic()
             observer.finished(outcome)
-            self._metrics.finished(route.name, clock.monotonic() - now, outcome)
+            self._throttles.on_outcome(finished_at, route, outcome)
+            self._metrics.finished(route.name, finished_at - now, outcome)
             on_outcome(_with_capped_retry_after(outcome))
 
         state_machine = self._make_machine(now, request, route, groups)
--- a/jackdawpass/process/serving/peers.py
+++ b/jackdawpass/process/serving/peers.py
@@ -120,6 +120,15 @@
             self._back_off(now, name)
             self._zone_backoff_until[zone] = now + ZONE_BACKOFF_SECONDS
 
+    def forget_failures(self, zone: str) -> None:
+        """Forget the failures of the instances of a zone that is reachable again."""
+        self._zone_backoff_until.pop(zone, None)
+        for name, state in self._states.items():
+            if state.listed.zone == zone:
+                state.forget_failures()
+                self._failures.pop(name, None)
+                self._backoff_until.pop(name, None)
+
     def _back_off(self, now: float, name: str) -> None:
         failures = self._failures.get(name, 0)
         self._failures[name] = failures + 1
--- a/jackdawpass/process/serving/reachability.py
+++ b/jackdawpass/process/serving/reachability.py
@@ -8,6 +8,29 @@
 MIN_FAILURES = 4
 
 
+class ZoneOutages:
+    """Detection of the end of an outage of another zone.
+
+    What was learned about the targets of a zone during its outage does not hold
+    afterwards, and they are needed at once.
+    """
+
+    def __init__(self) -> None:
+        self._answered_at: dict[str, float] = {}
+        self._failures: dict[str, int] = {}
+
+    def on_failure(self, zone: str) -> None:
+        """Record an attempt in a zone that failed or was cancelled unanswered."""
+        self._failures[zone] = self._failures.get(zone, 0) + 1
+
+    def on_answer(self, now: float, zone: str) -> bool:
+        """Record an answer from a zone; return True if it ends an outage."""
+        silent = now - self._answered_at.get(zone, now) >= SILENCE_SECONDS
+        failures = self._failures.pop(zone, 0)
+        self._answered_at[zone] = now
+        return silent and failures >= MIN_FAILURES
+
+
 class ZoneReachability:
     """Answers and failures of attempts in other zones."""
 
--- a/jackdawpass/process/serving/sender.py
+++ b/jackdawpass/process/serving/sender.py
@@ -3,6 +3,7 @@
 import collections.abc
 import typing
 
+from jackdawpass import clock
 from jackdawpass.connection import dialect, pool, reply_limits
 from jackdawpass.process import submission
 from jackdawpass.process.serving import targets
@@ -82,6 +83,10 @@
         self._state.in_flight -= 1
         self._observer.on_attempt_end(now, ended.attempt, end)
 
+    def is_full(self) -> bool:
+        """Return whether the target has recently refused an attempt."""
+        return self._state.is_full(clock.monotonic())
+
     def resize(self, limit: int) -> None:
         """Change the maximum number of connections."""
         self._pool.set_limit(limit)
--- a/jackdawpass/process/serving/targets.py
+++ b/jackdawpass/process/serving/targets.py
@@ -22,6 +22,8 @@
 # Its entry is corrected within a few heartbeats, or seconds after an outage of the
 # store.
 MISDIRECTED_SECONDS = 10.0
+# Time for which a target counts as full after it has refused an attempt.
+FULL_SECONDS = 0.5
 # Cost of leaving the zone, and of each attempt that this instance has in flight, both
 # in typical latencies of a target.
 REMOTE_COST = 0.6
@@ -74,6 +76,7 @@
         self._updated_at = now
         self._failures = 0
         self._avoid_until = -math.inf
+        self._full_until = -math.inf
         self._misdirected_until = -math.inf
 
     def usable(self, now: float) -> bool:
@@ -105,6 +108,26 @@
         if ratio > slowness:
             self._update(now, ratio, failure_rate)
 
+    def on_shed(self, now: float) -> None:
+        """Record that the target refused an attempt because it is full.
+
+        A full target works, so it is not avoided; only its cost increases.
+        """
+        slowness, _ = self._current(now)
+        self._update(now, slowness, 1.0)
+        self._full_until = now + FULL_SECONDS
+
+    def is_full(self, now: float) -> bool:
+        """Return whether the target has recently refused an attempt."""
+        return now < self._full_until
+
+    def forget_failures(self) -> None:
+        """Forget failures and latencies: the target is reachable again."""
+        self._slowness = 1.0
+        self._failure_rate = 0.0
+        self._failures = 0
+        self._avoid_until = -math.inf
+
     def on_misdirected(self, now: float) -> None:
         """Record that another target answered at the address."""
         self._misdirected_until = now + MISDIRECTED_SECONDS
@@ -170,6 +193,12 @@
         self._states = states
         self._groups = {name: tuple(each) for name, each in groups.items()}
 
+    def forget_failures(self, zone: str) -> None:
+        """Forget the failures of the targets of a zone that is reachable again."""
+        for state in self._states.values():
+            if state.listed.zone == zone:
+                state.forget_failures()
+
     def has_local(self, now: float, group: str) -> bool:
         """Return whether a group has a usable target in this instance's zone."""
         return self.has_in_zone(now, group, self._zone)
--- a/jackdawpass/process/submission.py
+++ b/jackdawpass/process/submission.py
@@ -67,6 +67,9 @@
     ) -> None:
         """Record the end; called exactly once, before the listener is notified."""
 
+    def is_full(self) -> bool:
+        """Return whether the target has recently refused an attempt."""
+
 
 class Submission:
     """One attempt; its listener is notified of its end unless it was cancelled."""
@@ -120,7 +123,7 @@
         if self._connection is not None:
             # A late reply on this connection must not reach another request.
             age = clock.monotonic() - self._sent_at
-            self._pool.abandon(self._connection)
+            self._pool.abandon(self._connection, self._owner.is_full())
             self._connection = None
             self._send_cancellation()
         self._end(Cancelled(age, self._is_accepted))
--- a/jackdawpass/request/fanout.py
+++ b/jackdawpass/request/fanout.py
@@ -126,6 +126,8 @@
         omitted = attempt.shards - covered
         if omitted and reply.is_final:
             self._abandon(omitted & self._merge.uncovered)
+            if not self._may_reach_min_coverage():
+                actions += self._retry_or_restart(now, omitted, _SHARDS_OMITTED)
         elif omitted:
             actions += self._retry_or_restart(now, omitted, _SHARDS_OMITTED)
         return self._finish_or_wait(now, actions)
@@ -334,9 +336,7 @@
     def _should_finish(self, now: float) -> bool:
         if not self._outstanding or not self._merge.uncovered:
             return True
-        total = len(self._plan.shards)
-        best = (total - len(self._unreachable)) / total
-        if best < self._plan.min_coverage:
+        if not self._may_reach_min_coverage():
             return True
         early_after = self._plan.early_after
         enough = max(self._plan.early_coverage, self._plan.min_coverage)
@@ -346,6 +346,10 @@
             and self._merge.ratio >= enough
         )
 
+    def _may_reach_min_coverage(self) -> bool:
+        total = len(self._plan.shards)
+        return (total - len(self._unreachable)) / total >= self._plan.min_coverage
+
     def _update_timer(self) -> machine.Actions:
         times = (self._plan.deadline, self._early_at, self._outstanding.next_hedge())
         at = min(time for time in times if time is not None)
--- a/tests/process/serving/test_feedback.py
+++ b/tests/process/serving/test_feedback.py
@@ -11,6 +11,7 @@
     peers,
     prometheus_metrics,
     targets,
+    throttle,
     timing,
 )
 from jackdawpass.request import model
@@ -20,6 +21,7 @@
 LOST = model.AttemptFailure(
     model.FailureKind.CONNECTION_LOST, model.Execution.MAY_HAVE_RUN
 )
+SHED = model.AttemptFailure(model.FailureKind.SHED, model.Execution.REFUSED_NOT_RUN)
 DECLINED = model.AttemptFailure(model.FailureKind.DECLINED, model.Execution.NOT_SENT)
 
 
@@ -40,6 +42,7 @@
             self.peers,
             self._on_suspected_partition,
             prometheus_metrics.PrometheusMetrics(),
+            throttle.RouteThrottles(generator),
         )
         self.feedback.apply_routes([ROUTE])
 
@@ -115,3 +118,52 @@
     assert harness.feedback.latencies(ROUTE) is route_latencies
     harness.feedback.apply_routes([])
     harness.end_attempt("target", submission.Replied(0.02))
+
+
+def test_full_target_is_not_avoided(harness: Harness) -> None:
+    """Guards against replicas that are avoided in turn while all are full.
+
+    The whole load then falls on one of them.
+    """
+    state = harness.targets.states["target"]
+    before = state.cost(1.0, "a")
+    for _ in range(6):
+        harness.end_attempt("target", SHED)
+    assert not state.avoided(1.0)
+    assert state.is_full(1.0) and not state.is_full(1.0 + targets.FULL_SECONDS)
+    assert state.cost(1.0, "a") > before
+
+
+def test_targets_of_a_returned_zone_are_used_at_once(harness: Harness) -> None:
+    """Guards against avoiding a zone for seconds after its outage has ended."""
+    state = harness.targets.states["target"]
+    harness.end_attempt("target", submission.Replied(0.02), now=1.0)
+    for number in range(8):
+        harness.end_attempt("target", LOST, now=1.1 + number / 10)
+        harness.end_attempt("instance/b0", LOST, now=1.1 + number / 10)
+    assert state.avoided(2.0) and not harness.can_query_peer(2.0)
+    harness.targets.apply(
+        2.0,
+        {
+            name: targets.ListedTarget(name, "g", "127.0.0.1", 1, "b")
+            for name in ("target", "other")
+        },
+    )
+    harness.end_attempt("other", submission.Replied(0.02), now=2.0)
+    assert not state.avoided(2.0) and harness.can_query_peer(2.0)
+
+
+def test_failing_target_in_a_working_zone_stays_avoided(harness: Harness) -> None:
+    """Guards against an answer of one target that clears the failures of another."""
+    state = harness.targets.states["target"]
+    harness.targets.apply(
+        1.0,
+        {
+            name: targets.ListedTarget(name, "g", "127.0.0.1", 1, "b")
+            for name in ("target", "other")
+        },
+    )
+    for number in range(8):
+        harness.end_attempt("target", LOST, now=1.1 + number / 10)
+        harness.end_attempt("other", submission.Replied(0.02), now=1.15 + number / 10)
+    assert state.avoided(1.9)
--- a/tests/request/test_fanout_subqueries.py
+++ b/tests/request/test_fanout_subqueries.py
@@ -27,6 +27,24 @@
     assert [each.shard for each in answer.coverage.missing] == [1]
 
 
+def test_left_out_shards_are_asked_for_if_the_answer_needs_them() -> None:
+    """Guards against a failed request although its deadline is far away."""
+    query = fanout.Fanout(
+        fakes.plan(REPLICAS, "s1", min_coverage=0.9),
+        fakes.FirstReplicaRouter(REPLICAS),
+        fakes.FixedHedging(None),
+        fakes.CountedBudget(10),
+        fakes.FixedSource(),
+    )
+    first, second = fakes.sends(query.start(0.0))
+    final = dataclasses.replace(fakes.reply(first, {0}), is_final=True)
+    (retry,) = fakes.sends(query.on_reply(0.1, 1, final))
+    assert retry.shards == frozenset({1}) and retry.kind is model.AttemptKind.RETRY
+    query.on_reply(0.2, 2, fakes.reply(second))
+    (answer,) = fakes.outcomes(query.on_reply(0.3, 3, fakes.reply(retry)))
+    assert isinstance(answer, model.Answer) and answer.complete
+
+
 def _second_attempt(query: fanout.Fanout) -> model.Attempt:
     return model.Attempt(
         2, "r1", "lots", "c", frozenset({2}), "s1", 1.0, 5, model.AttemptKind.FIRST
