Take no reply without an id on a connection that is in use again

Cause: a reply without the request's id was taken for the reply to the request that waits. A late copy of an earlier reply, sent without an id, then answered the next caller: a front whose targets send such copies returned r0's answer to r1, for idempotent and non-idempotent requests alike. A 101 reply counted as an acknowledgement and raised out of the parser.

Change: such a reply is accepted only as the first on its connection, which then closes; on a used connection it is skipped like a reply to another request. A protocol change is a malformed reply. The stand-in target sends ids with refusals too, and can send copies and cut heads.

An answer cut in its head was no success before either; the test stays as a guard.

--- a/jackdawpass/connection/dialect.py
+++ b/jackdawpass/connection/dialect.py
@@ -55,8 +55,8 @@
     def encode_cancel(self, attempt: model.Attempt) -> bytes | None:
         """Encode the HTTP request that cancels an attempt; None if there is none."""
 
-    def matches(self, attempt: model.Attempt, reply: HttpReply) -> bool:
-        """Return whether a reply answers the request of an attempt."""
+    def matches(self, attempt: model.Attempt, reply: HttpReply) -> bool | None:
+        """Return whether a reply answers an attempt; None if it does not say."""
 
     def decode_run(self, attempt: model.Attempt, reply: HttpReply) -> RunResult:
         """Decode the reply to an attempt."""
--- a/jackdawpass/connection/http_connection.py
+++ b/jackdawpass/connection/http_connection.py
@@ -31,7 +31,7 @@
 
 OnDone = collections.abc.Callable[[dialect.HttpReply | ExchangeError], None]
 OnInterim = collections.abc.Callable[[], None]
-MatchesRequest = collections.abc.Callable[[dialect.HttpReply], bool]
+MatchesRequest = collections.abc.Callable[[dialect.HttpReply], bool | None]
 
 # A target may close an idle connection when its idle timeout ends. The last part of
 # the timeout is not used, because a request sent then could race with the close.
@@ -141,7 +141,10 @@
         `on_interim` is called for each interim (1xx) reply before `on_done`.
 
         Complete replies for which `matches` returns False belong to another request;
-        they are discarded and the reply to this request is awaited.
+        they are discarded and the reply to this request is awaited. `matches` returns
+        None for a reply that does not identify its request. Such a reply is accepted
+        only if the connection has carried no other request, and it closes the
+        connection: a late copy of it could not be told from the next reply.
 
         When `on_done` is called, the connection is open only if it can be reused. The
         sender of the request then returns it to the pool or aborts it.
@@ -204,7 +207,7 @@
         self._raw_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(ExchangeError.MALFORMED)
             return
         # The parser's callbacks may have ended the exchange.
@@ -278,13 +281,24 @@
         self._keep_alive = (
             self._parser.should_keep_alive() and not self._body_ends_at_close
         )
-        if self._status < 200 or not self._is_expected():
-            self._clear_reply()
-            self._skipped_replies += 1
-            if self._status < 200 and self._on_interim is not None:
+        if self._status < 200:
+            self._skip_reply()
+            # A protocol change ends the exchange; it acknowledges nothing.
+            if self._status != 101 and self._on_interim is not None:
                 self._on_interim()
             return
-        self._complete = True
+        is_own = self._matches is None or self._matches(self._reply())
+        if is_own is None:
+            self._keep_alive = False
+            is_own = self._exchange_count == 1
+        if is_own:
+            self._complete = True
+        else:
+            self._skip_reply()
+
+    def _skip_reply(self) -> None:
+        self._clear_reply()
+        self._skipped_replies += 1
 
     def _exceeds_limits(self) -> bool:
         limits = self._limits
@@ -331,9 +345,6 @@
             self._status, b"".join(self._body), tuple(self._headers)
         )
 
-    def _is_expected(self) -> bool:
-        return self._matches is None or self._matches(self._reply())
-
     def _update_expiry(self, reply: dialect.HttpReply) -> None:
         idle_seconds = _idle_seconds(reply.header(b"keep-alive") or b"")
         if idle_seconds is not None:
--- a/jackdawpass/platform/target_dialect.py
+++ b/jackdawpass/platform/target_dialect.py
@@ -52,10 +52,10 @@
         """Return None, since closing the connection cancels the request."""
         return None
 
-    def matches(self, attempt: model.Attempt, reply: dialect.HttpReply) -> bool:
-        """Return False for a late reply to another request."""
+    def matches(self, attempt: model.Attempt, reply: dialect.HttpReply) -> bool | None:
+        """Return whether a reply repeats the request's id; None if it has no id."""
         request_id = reply.header(headers.REQUEST_ID)
-        return request_id is None or request_id == attempt.request_id.encode()
+        return None if request_id is None else request_id == attempt.request_id.encode()
 
     def decode_run(
         self, attempt: model.Attempt, reply: dialect.HttpReply
--- a/jackdawpass/standins/listed_target.py
+++ b/jackdawpass/standins/listed_target.py
@@ -43,7 +43,10 @@
     mode : str
         ``""``, ``error`` (status 500), ``shed``, ``hang``, ``reset`` (after the
         request has run), ``unframed`` (no ``Content-Length``), ``cut`` (half of the
-        body) or ``extra`` (a second response follows shortly after).
+        body), ``cut_head`` (half of the head, then a close), ``extra`` (a second
+        response follows shortly after), ``copy`` (a copy of the previous response of
+        the connection precedes the response) or ``anonymous_copy`` (the same without
+        the request's id).
     slow_ms : float
         Added to the running time of each request.
     """
@@ -90,6 +93,7 @@
         self._faults = options.faults
         self._runs: list[Run] = []
         self._reply_timers: dict[http_server.ServerConnection, typing.Any] = {}
+        self._last_responses: dict[http_server.ServerConnection, bytes] = {}
         self._cancelled = 0
 
     def listen(self, port: int = 0, host: str = "127.0.0.1") -> typing.Any:
@@ -103,6 +107,7 @@
 
     def on_closed(self, connection: http_server.ServerConnection) -> None:
         """Cancel the pending response of a closed connection."""
+        self._last_responses.pop(connection, None)
         timer = self._reply_timers.pop(connection, None)
         if timer is not None and timer.active():
             timer.cancel()
@@ -115,14 +120,18 @@
         if request.path.startswith("/control/"):
             self._handle_control(connection, request)
             return
+        request_id = request.headers.get("x-attempt-id", "")
+        identity = {"X-Attempt-Id": request_id}
         expected_instance = request.headers.get("x-expect-instance", self._options.name)
         if expected_instance != self._options.name:
-            connection.write(_encode_response(421, {}, b""))
+            connection.write(_encode_response(421, identity, b""))
             return
         if self._faults.mode == "shed":
-            connection.write(_encode_response(503, {"X-Not-Executed": "1"}, b""))
+            refusal = identity | {"X-Not-Executed": "1"}
+            connection.write(_encode_response(503, refusal, b""))
             return
-        request_id = request.headers.get("x-attempt-id", "")
+        if self._faults.mode.endswith("copy"):
+            connection.write(self._last_responses.get(connection, b""))
         body = request.body.decode("latin-1")
         self._runs.append(
             Run(request_id, request.method, request.path, body, clock.monotonic())
@@ -156,12 +165,20 @@
             response = _encode_response(200, headers, body)
             connection.write(response[: len(response) - len(body) // 2])
             self._reactor.callLater(0.01, connection.reset)
+        elif mode == "cut_head":
+            head, _, _ = _encode_response(200, headers, body).partition(b"\r\n\r\n")
+            connection.write(head[: len(head) // 2])
+            if connection.transport is not None:
+                connection.transport.loseConnection()
         elif mode == "unframed":
             connection.write(_encode_response(200, headers, body, framed=False))
             if connection.transport is not None:
                 connection.transport.loseConnection()
         else:
             connection.write(_encode_response(200, headers, body))
+            if mode == "anonymous_copy":
+                del headers["X-Attempt-Id"]
+            self._last_responses[connection] = _encode_response(200, headers, body)
             if mode == "extra":
                 second_response = _encode_response(200, headers, body)
                 self._reactor.callLater(0.005, connection.write, second_response)
--- a/tests/front_mutations.py
+++ b/tests/front_mutations.py
@@ -6,10 +6,18 @@
     mutation.Mutation(
         "front: no crossed answers",
         "jackdawpass/platform/target_dialect.py",
-        "return request_id is None or request_id == attempt.request_id.encode()",
+        "return None if request_id is None else request_id == "
+        "attempt.request_id.encode()",
         "return True",
         "tests/platform/test_target_dialect.py",
     ),
+    mutation.Mutation(
+        "front: no answer from an unidentified copy",
+        "jackdawpass/connection/http_connection.py",
+        "            is_own = self._exchange_count == 1\n",
+        "            is_own = True\n",
+        "tests/connection/test_http_connection.py",
+    ),
     mutation.Mutation(
         "front: no request for another target",
         "jackdawpass/platform/target_dialect.py",
--- a/tests/platform/test_front_process.py
+++ b/tests/platform/test_front_process.py
@@ -78,7 +78,20 @@
         return False
 
 
-@pytest.mark.parametrize("mode", ["error", "shed", "reset", "cut", "extra", "unframed"])
+@pytest.mark.parametrize(
+    "mode",
+    [
+        "error",
+        "shed",
+        "reset",
+        "cut",
+        "cut_head",
+        "extra",
+        "unframed",
+        "copy",
+        "anonymous_copy",
+    ],
+)
 def test_faulty_replica_does_not_affect_answers(
     deployment: site.Site, mode: str
 ) -> None:
@@ -94,6 +107,31 @@
         assert reply.body == expected_records(path, 5)
 
 
+@pytest.mark.parametrize("mode", ["copy", "anonymous_copy"])
+@pytest.mark.parametrize(("path", "method"), [("/lookup", "GET"), ("/reserve", "POST")])
+def test_late_copy_reaches_no_other_caller(
+    deployment: site.Site, mode: str, path: str, method: str
+) -> None:
+    """Guards against a copy that answers the next request of its connection."""
+    front = deployment.add_front()
+    for name in ("s0-a", "s0-b"):
+        deployment.inject_faults(deployment.targets[name], mode=mode)
+    for number in range(12):
+        reply = front.request(f"{path}/{number}", f"r{number}", 2000, method)
+        assert reply.status == 200
+        assert reply.headers["x-response-stamp"].split(":")[1] == f"r{number}"
+
+
+@pytest.mark.parametrize("path", ["/lookup/x", "/reserve/x", "/search/x"])
+def test_answer_cut_in_its_head_is_no_success(deployment: site.Site, path: str) -> None:
+    """Guards against a short answer that looks complete."""
+    front = deployment.add_front()
+    for target in deployment.targets.values():
+        deployment.inject_faults(target, mode="cut_head")
+    method = "POST" if path.startswith("/reserve") else "GET"
+    assert front.request(path, "r1", 800, method).status in (502, 504)
+
+
 def test_hanging_replica_is_hedged(deployment: site.Site) -> None:
     """Guards against a single hanging target that delays a whole search."""
     front = deployment.add_front()
--- a/tests/platform/test_target_dialect.py
+++ b/tests/platform/test_target_dialect.py
@@ -96,8 +96,9 @@
 
 def test_late_reply_to_another_request_is_detected() -> None:
     """Guards against answering a request with the reply to another one."""
-    assert WIRE.matches(attempt(), reply(200, x_attempt_id="r1"))
-    assert not WIRE.matches(attempt(), reply(200, x_attempt_id="r0"))
+    assert WIRE.matches(attempt(), reply(200, x_attempt_id="r1")) is True
+    assert WIRE.matches(attempt(), reply(200, x_attempt_id="r0")) is False
+    assert WIRE.matches(attempt(), reply(200)) is None
 
 
 @hypothesis.given(
