Keep the request of a silent aggregator, and ask a second one meanwhile

Cause: an instance that got no ping answer for 0.4 s ended all requests that it had forwarded to that aggregator with 502, although the aggregator was only paused and went on serving them. Four requests that run once, at an aggregator frozen for 1.5 s, all got 502 while their targets ran them. Searches whose aggregator was killed got 502 too, although another one could have answered.

Change: a forwarded request keeps its exchange with a silent aggregator and goes to a second one, marked as a repeat. That one serves it if its route is idempotent, all budgets allow a repeat and both together cannot use more targets than max_attempts; otherwise it declines and says whether the request must run once, which then waits for the first aggregator within its route's timeout. A refusal of a repeat is never passed on as not run.

--- a/jackdawpass/connection/http_connection.py
+++ b/jackdawpass/connection/http_connection.py
@@ -5,7 +5,6 @@
 import enum
 import functools
 import re
-import socket
 import typing
 
 import httptools
@@ -13,7 +12,7 @@
 from twisted.python import failure
 
 from jackdawpass import clock
-from jackdawpass.connection import dialect, reply_limits
+from jackdawpass.connection import dialect, reply_limits, socket_timeouts
 
 # Bodies up to this size are not counted in the memory of unfinished replies.
 UNCOUNTED_BODY_BYTES = 16 * 1024
@@ -36,13 +35,6 @@
 # A target may close an idle connection when its idle timeout ends. The last part of
 # the timeout is not used, because a request sent then could race with the close.
 IDLE_MARGIN_SECONDS = 0.5
-# TCP keep-alive probes detect idle connections whose peer no longer responds. Probes
-# start after KEEP_ALIVE_IDLE_SECONDS of silence, then follow once a second, twice.
-KEEP_ALIVE_IDLE_SECONDS = 2
-KEEP_ALIVE_INTERVAL_SECONDS = 1
-KEEP_ALIVE_PROBES = 2
-# The connection is closed if sent data stays unacknowledged for this time.
-UNACKNOWLEDGED_TIMEOUT_MILLISECONDS = 2000
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
 
@@ -184,20 +176,10 @@
         transport: typing.Any = self.transport
         transport.setTcpNoDelay(True)
         if interfaces.ISystemHandle.providedBy(transport):
-            self._set_timeouts(transport)
+            handle: typing.Any = transport.getHandle()
+            socket_timeouts.apply(handle)
         self._owner.on_open(self)
 
-    def _set_timeouts(self, transport: typing.Any) -> None:
-        handle: typing.Any = transport.getHandle()
-        for option, value in (
-            (socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS),
-            (socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_SECONDS),
-            (socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
-            (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MILLISECONDS),
-        ):
-            handle.setsockopt(socket.IPPROTO_TCP, option, value)
-        handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-
     def dataReceived(self, data: bytes) -> None:
         """Feed the parser; close on malformed or unexpected bytes."""
         if self._on_done is None:
--- a/jackdawpass/platform/adapter.py
+++ b/jackdawpass/platform/adapter.py
@@ -6,7 +6,7 @@
 
 from jackdawpass.connection import ingress
 from jackdawpass.platform import callers, decoding, store, target_dialect
-from jackdawpass.process.serving import gateway, settings
+from jackdawpass.process.serving import caller_requests, settings
 
 
 class PlatformAdapter:
@@ -38,11 +38,13 @@
 
     def decode_request(
         self, request: ingress.IncomingRequest
-    ) -> result.Result[gateway.CallerRequest, int]:
+    ) -> result.Result[caller_requests.CallerRequest, int]:
         """Decode a caller's request, or return the HTTP status that rejects it."""
         return callers.decode_request(request)
 
-    def encode_outcome(self, outcome: gateway.Outcome) -> ingress.OutgoingResponse:
+    def encode_outcome(
+        self, outcome: caller_requests.Outcome
+    ) -> ingress.OutgoingResponse:
         """Encode the outcome of a request as the HTTP response to its caller."""
         return callers.encode_outcome(outcome)
 
--- a/jackdawpass/platform/callers.py
+++ b/jackdawpass/platform/callers.py
@@ -4,7 +4,7 @@
 
 from jackdawpass.connection import ingress
 from jackdawpass.platform import headers
-from jackdawpass.process.serving import gateway, immediate_refusals, peer_wire
+from jackdawpass.process.serving import caller_requests, immediate_refusals, peer_wire
 from jackdawpass.request import model, problems, records
 
 # Headers that are not copied from a caller's request, but set anew if needed.
@@ -22,7 +22,7 @@
 
 def decode_request(
     request: ingress.IncomingRequest,
-) -> result.Result[gateway.CallerRequest, int]:
+) -> result.Result[caller_requests.CallerRequest, int]:
     """Decode a caller's request, or return the HTTP status that rejects it."""
     host = request.header(b"host")
     if host is None or not request.target.startswith(b"/"):
@@ -34,7 +34,7 @@
     request_id = request.header(headers.REQUEST_ID) or b""
     host_name = host.decode("latin-1").lower()
     return result.Success(
-        gateway.CallerRequest(
+        caller_requests.CallerRequest(
             request_id=request_id.decode("latin-1"),
             host=host_name.rpartition(":")[0] if _has_port(host_name) else host_name,
             path=path.decode("latin-1"),
@@ -65,7 +65,7 @@
     return encoded[:line_end] + header_lines + encoded[line_end:]
 
 
-def encode_outcome(outcome: gateway.Outcome) -> ingress.OutgoingResponse:
+def encode_outcome(outcome: caller_requests.Outcome) -> ingress.OutgoingResponse:
     """Encode the outcome of a request as the HTTP response to its caller."""
     if isinstance(outcome, problems.Problem):
         return _encode_problem(outcome)
--- a/jackdawpass/process/serving/aggregator_link.py
+++ b/jackdawpass/process/serving/aggregator_link.py
@@ -12,7 +12,7 @@
 _logger = logs.get_logger(__name__)
 
 # Interval of pings to an aggregator, and their timeout. A round trip in a zone takes
-# 0.2 ms, and a lost aggregator also loses the requests forwarded to it.
+# 0.2 ms, and requests wait for an aggregator that was lost without notice.
 PING_SECONDS = 0.4
 # A tick that is this late means that this instance stalled, not the aggregator.
 STALL_SECONDS = 0.25
@@ -24,8 +24,8 @@
 class ForwardedRequest(typing.Protocol):
     """A request forwarded over the link."""
 
-    def on_aggregator_lost(self) -> None:
-        """Retry elsewhere or end the request."""
+    def on_aggregator_silent(self, link: "AggregatorLink") -> None:
+        """Try another aggregator as well."""
 
 
 class AggregatorLink:
@@ -76,13 +76,13 @@
             self._log(report.state)
         self.report = report
 
-    def mark_lost(self) -> None:
-        """Mark the aggregator unready and fail over or end its forwarded requests."""
+    def mark_silent(self) -> None:
+        """Mark the aggregator unready, and tell the requests forwarded to it."""
         if self.report.state is not peer_wire.State.UNREADY:
             self._log(peer_wire.State.UNREADY)
         self.report = peer_wire.Report(peer_wire.State.UNREADY, self.report.version)
         for request in list(self.forwarded):
-            request.on_aggregator_lost()
+            request.on_aggregator_silent(self)
 
     def _log(self, state: peer_wire.State) -> None:
         _logger.info(
@@ -104,14 +104,14 @@
             if ping is not None:
                 ping.abort()
             self._ping_pending = False
-            self.mark_lost()
+            self.mark_silent()
         self._ping_pending = True
         self._pool.acquire(self._on_connection)
 
     def _on_connection(self, connection: http_connection.HttpConnection | None) -> None:
         if connection is None:
             self._ping_pending = False
-            self.mark_lost()
+            self.mark_silent()
             return
         if not self._ping_pending or self._ping is not None:
             self._pool.release(connection)
@@ -126,11 +126,11 @@
         self._ping_pending = False
         if isinstance(outcome, http_connection.ExchangeError) or ping is None:
             if outcome is not http_connection.ExchangeError.STALE:
-                self.mark_lost()
+                self.mark_silent()
             return
         self._pool.release(ping)
         report = peer_wire.decode_report(outcome)
         if report is None:
-            self.mark_lost()
+            self.mark_silent()
         else:
             self.update_report(report)
--- a/jackdawpass/process/serving/forwarding.py
+++ b/jackdawpass/process/serving/forwarding.py
@@ -1,14 +1,18 @@
 """Forwarding of callers' whole requests to aggregators, first to those of the zone."""
 
 import collections.abc
-import functools
 import math
 import random
 import typing
 
 from jackdawpass import clock
-from jackdawpass.connection import dialect, http_connection, ingress, reply_limits
-from jackdawpass.process.serving import aggregator_link, aggregators, peer_wire
+from jackdawpass.connection import ingress, reply_limits
+from jackdawpass.process.serving import (
+    aggregator_link,
+    aggregators,
+    forwarded_request,
+    peer_wire,
+)
 
 # How long stale aggregators are trusted before this instance checks the store itself: a
 # change has at least three seconds to come into force.
@@ -16,134 +20,8 @@
 # How long aggregators of other zones are pinged after the last time that no local one
 # was ready. The pings cross zones, where traffic is charged.
 REMOTE_LINK_SECONDS = 5.0
-# Time before the caller's deadline at which a forwarded request is answered with 504.
-ANSWER_MARGIN_SECONDS = 0.005
-
-Encode = collections.abc.Callable[[float, int], bytes]
-Fallback = collections.abc.Callable[[], ingress.Exchange]
 
 _STATE_ORDER = tuple(peer_wire.State)
-_LOST_ANSWER = ingress.OutgoingResponse(
-    502, (), b"the instance that asked the targets was lost; check before repeating"
-)
-_TIMEOUT_ANSWER = ingress.OutgoingResponse(504, (), b"no answer before the deadline")
-
-
-class ForwardedRequest:
-    """A request forwarded to an aggregator."""
-
-    def __init__(
-        self,
-        reactor: typing.Any,
-        forwarder: "Forwarder",
-        encode: Encode,
-        timeout: float,
-        on_response: ingress.OnResponse,
-        fallback: Fallback,
-    ) -> None:
-        self._reactor = reactor
-        self._forwarder = forwarder
-        self._encode = encode
-        self._deadline = clock.monotonic() + timeout
-        self._on_response = on_response
-        self._fallback = fallback
-        self._local_exchange: ingress.Exchange | None = None
-        self._link: aggregator_link.AggregatorLink | None = None
-        self._connection: http_connection.HttpConnection | None = None
-        self._tried: set[str] = set()
-        self._ended = False
-        self._timer = reactor.callLater(
-            max(0.0, timeout - ANSWER_MARGIN_SECONDS), self._on_deadline
-        )
-
-    def start(self) -> None:
-        """Forward the request to an aggregator that was not tried yet."""
-        link = self._forwarder.choose(self._tried)
-        if link is None:
-            self._end()
-            self._local_exchange = self._fallback()
-            return
-        self._tried.add(link.member.name)
-        self._link = link
-        link.forwarded.add(self)
-        link.pool.acquire(functools.partial(self._on_connection, link))
-
-    def caller_gone(self) -> None:
-        """Cancel the request."""
-        if self._local_exchange is not None:
-            self._local_exchange.caller_gone()
-        self._end()
-
-    def on_aggregator_lost(self) -> None:
-        """Retry elsewhere if nothing was sent yet; otherwise answer with 502."""
-        if self._connection is None:
-            self._detach()
-            self.start()
-        else:
-            self._finish(_LOST_ANSWER)
-
-    def _on_connection(
-        self,
-        link: aggregator_link.AggregatorLink,
-        connection: http_connection.HttpConnection | None,
-    ) -> None:
-        if self._link is not link:
-            if connection is not None:
-                link.pool.release(connection)
-            return
-        if connection is None:
-            link.mark_lost()
-            return
-        remaining = self._deadline - clock.monotonic()
-        self._connection = connection
-        connection.send(
-            self._encode(remaining, self._forwarder.version), self._on_reply
-        )
-
-    def _on_reply(
-        self, outcome: dialect.HttpReply | http_connection.ExchangeError
-    ) -> None:
-        connection, self._connection = self._connection, None
-        link = self._link
-        if self._ended or connection is None or link is None:
-            return
-        if isinstance(outcome, http_connection.ExchangeError):
-            self._finish(_LOST_ANSWER)
-            return
-        link.pool.release(connection)
-        report = peer_wire.decode_report(outcome)
-        if report is not None:
-            link.update_report(report)
-        if outcome.header(peer_wire.NOT_TAKEN) is not None:
-            self._detach()
-            self.start()
-            return
-        if report is not None:
-            self._forwarder.on_version(report.version)
-        headers = peer_wire.caller_headers(outcome.headers)
-        self._finish(ingress.OutgoingResponse(outcome.status, headers, outcome.body))
-
-    def _on_deadline(self) -> None:
-        self._finish(_TIMEOUT_ANSWER)
-
-    def _finish(self, response: ingress.OutgoingResponse) -> None:
-        if not self._ended:
-            self._end()
-            self._on_response(response)
-
-    def _end(self) -> None:
-        self._ended = True
-        if self._timer.active():
-            self._timer.cancel()
-        self._detach()
-
-    def _detach(self) -> None:
-        connection, self._connection = self._connection, None
-        if connection is not None:
-            connection.abort()
-        if self._link is not None:
-            self._link.forwarded.discard(self)
-            self._link = None
 
 
 class Forwarder:
@@ -272,22 +150,18 @@
 
     def forward_request(
         self,
-        encode: Encode,
+        request_id: str,
+        encode: forwarded_request.Encode,
         timeout: float,
         on_response: ingress.OnResponse,
-        fallback: Fallback,
-    ) -> ForwardedRequest:
+        fallback: forwarded_request.Fallback,
+    ) -> ingress.Exchange:
         """Forward a request to an aggregator, or to `fallback` if there is none.
 
-        Parameters
-        ----------
-        encode : callable
-            Encodes the request, given the remaining seconds and the version seen.
-        timeout : float
-            Seconds until the caller's deadline.
+        The parameters are those of `ForwardedRequest`.
         """
-        request = ForwardedRequest(
-            self._reactor, self, encode, timeout, on_response, fallback
+        request = forwarded_request.ForwardedRequest(
+            self._reactor, self, request_id, encode, timeout, on_response, fallback
         )
         request.start()
         return request
--- a/jackdawpass/process/serving/front.py
+++ b/jackdawpass/process/serving/front.py
@@ -16,6 +16,7 @@
     handlers,
     instance_registry,
     pages,
+    peer_handler,
     prometheus_metrics,
     settings,
     shutdown,
@@ -98,7 +99,7 @@
         self._callers = handlers.CallerHandler(
             reactor, adapter, self._gateway, self._forwarder, self
         )
-        self._peers = handlers.PeerHandler(adapter, self._gateway, self)
+        self._peers = peer_handler.PeerHandler(adapter, self._gateway, self)
         self._instance_registry = instance_registry.InstanceRegistry(
             reactor, adapter.store, self._own_member(), self._on_members
         )
--- a/jackdawpass/process/serving/gateway.py
+++ b/jackdawpass/process/serving/gateway.py
@@ -12,7 +12,9 @@
 from jackdawpass.process import shares
 from jackdawpass.process.serving import (
     aggregators,
+    caller_requests,
     feedback,
+    forwarded_repeats,
     group_router,
     immediate_refusals,
     peer_wire,
@@ -45,35 +47,6 @@
 # Concurrent subqueries from this instance to one instance of another zone.
 PEER_CONNECTIONS = 16
 
-Outcome = model.Answer | problems.Problem
-OnOutcome = collections.abc.Callable[[Outcome], None]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallerRequest:
-    """A decoded request of a caller.
-
-    Attributes
-    ----------
-    request_id : str
-        Request id chosen by the caller.
-    path : str
-        Path without the query string.
-    timeout : float
-        Seconds that the caller waits.
-    encoded : bytes
-        Request as it is sent to targets.
-    age : float
-        Seconds since the request reached the first instance.
-    """
-
-    request_id: str
-    host: str
-    path: str
-    timeout: float
-    encoded: bytes
-    age: float = 0.0
-
 
 class Gateway:
     """Component that serves requests by the routing table and the listed targets.
@@ -198,7 +171,11 @@
         self._feedback.reachability.on_store_back()
         self._isolated = False
 
-    def serve(self, request: CallerRequest, on_outcome: OnOutcome) -> ingress.Exchange:
+    def serve(
+        self,
+        request: caller_requests.CallerRequest,
+        on_outcome: caller_requests.OnOutcome,
+    ) -> ingress.Exchange:
         """Serve a request; `on_outcome` is called once, possibly before returning."""
         now = clock.monotonic()
         observer = request_log.RequestLog(now, request.request_id)
@@ -216,21 +193,33 @@
             self._metrics.finished(route.name, 0.0, refusal)
             return _refuse(refusal, observer, on_outcome)
 
-        def finish(outcome: Outcome) -> None:
+        def finish(outcome: caller_requests.Outcome) -> None:
             finished_at = clock.monotonic()
             observer.finished(outcome)
             self._throttles.on_outcome(finished_at, route, outcome)
             self._metrics.finished(route.name, finished_at - now, outcome)
-            on_outcome(_with_capped_retry_after(outcome))
+            on_outcome(immediate_refusals.cap_retry_after(outcome))
 
         state_machine = self._make_machine(now, request, route, groups)
         return self._run(request, state_machine, finish, observer)
 
+    def review_repeat(
+        self, request: caller_requests.CallerRequest
+    ) -> forwarded_repeats.Review:
+        """Return whether a request may be served that another instance may serve."""
+        table = self._table
+        route = None if table is None else table.match(request.host, request.path)
+        if route is None:
+            return forwarded_repeats.DECLINED
+        return forwarded_repeats.review(
+            clock.monotonic(), route, self._targets, self._budgets, self._instances
+        )
+
     def serve_subquery(
         self,
-        request: CallerRequest,
+        request: caller_requests.CallerRequest,
         subquery: peer_wire.Subquery,
-        on_outcome: OnOutcome,
+        on_outcome: caller_requests.OnOutcome,
     ) -> ingress.Exchange | None:
         """Query some shards of a request on behalf of an instance of another zone.
 
@@ -247,7 +236,7 @@
         observer = request_log.RequestLog(now, request.request_id)
         observer.routed(route.name, table.version, subquery=True)
 
-        def finish(outcome: Outcome) -> None:
+        def finish(outcome: caller_requests.Outcome) -> None:
             observer.finished(outcome)
             on_outcome(outcome)
 
@@ -258,14 +247,16 @@
             early_after=now + subquery.answer_within,
             early_coverage=0.0,
         )
-        state_machine = self._make_fanout(plan, route, route.shards, None)
+        state_machine = self._make_fanout(
+            plan, route, route.shards, None, self._on_request
+        )
         return self._run(request, state_machine, finish, observer)
 
     def _run(
         self,
-        request: CallerRequest,
+        request: caller_requests.CallerRequest,
         state_machine: machine.Machine,
-        finish: OnOutcome,
+        finish: caller_requests.OnOutcome,
         observer: request_log.RequestLog,
     ) -> ingress.Exchange:
         request_runner = runner.Runner(
@@ -295,17 +286,20 @@
     def _make_machine(
         self,
         now: float,
-        request: CallerRequest,
+        request: caller_requests.CallerRequest,
         route: routes.Route,
         groups: tuple[str, ...],
     ) -> machine.Machine:
         plan = self._make_plan(now, request, route, len(groups))
         if route.idempotent:
             allow_hop = route.shards and peers.allows_extra_hop(route.latency_objective)
-            remote_peers = self._peers if allow_hop else None
-            return self._make_fanout(plan, route, groups, remote_peers)
+            # The instances asked by a subquery would count the shards of a repeat as
+            # first attempts.
+            remote_peers = self._peers if allow_hop and not request.is_repeat else None
+            on_request = self._on_repeat if request.is_repeat else self._on_request
+            return self._make_fanout(plan, route, groups, remote_peers, on_request)
         self._on_request(now, groups[0])
-        router = self._make_router(route, groups, None)
+        router = self._make_router(route, groups, None, self._on_request)
         return single_run.SingleRun(
             plan, router, self._make_budget(), make_merge=records.SingleReplyMerge
         )
@@ -316,8 +310,9 @@
         route: routes.Route,
         groups: tuple[str, ...],
         remote_peers: peers.Peers | None,
+        on_request: group_router.OnRequest,
     ) -> fanout.Fanout:
-        router = self._make_router(route, groups, remote_peers)
+        router = self._make_router(route, groups, remote_peers, on_request)
         budget = self._make_budget()
         hedging = timing.RouteHedging(
             route,
@@ -336,19 +331,27 @@
         route: routes.Route,
         groups: tuple[str, ...],
         remote_peers: peers.Peers | None,
+        on_request: group_router.OnRequest,
     ) -> group_router.GroupRouter:
         return group_router.GroupRouter(
-            self._targets, remote_peers, groups, route.max_attempts, self._on_request
+            self._targets, remote_peers, groups, route.max_attempts, on_request
         )
 
     def _on_request(self, now: float, group: str) -> None:
         self._budgets.group(group).on_request(now)
 
+    def _on_repeat(self, now: float, group: str) -> None:
+        self._budgets.group(group).try_spend(now, self._instances)
+
     def _make_budget(self) -> timing.RequestBudget:
         return timing.RequestBudget(self._budgets, self._instances, self._group_of)
 
     def _make_plan(
-        self, now: float, request: CallerRequest, route: routes.Route, shards: int
+        self,
+        now: float,
+        request: caller_requests.CallerRequest,
+        route: routes.Route,
+        shards: int,
     ) -> model.QueryPlan:
         timeout = min(request.timeout, route.timeout)
         assert self._table is not None
@@ -384,17 +387,10 @@
 
 
 def _refuse(
-    problem: problems.Problem, observer: request_log.RequestLog, on_outcome: OnOutcome
+    problem: problems.Problem,
+    observer: request_log.RequestLog,
+    on_outcome: caller_requests.OnOutcome,
 ) -> ingress.Exchange:
     observer.finished(problem)
     on_outcome(problem)
     return ingress.FinishedExchange()
-
-
-def _with_capped_retry_after(outcome: Outcome) -> Outcome:
-    if isinstance(outcome, problems.Problem) and outcome.retry_after is not None:
-        if outcome.retry_after > immediate_refusals.RETRY_AFTER_SECONDS:
-            return dataclasses.replace(
-                outcome, retry_after=immediate_refusals.RETRY_AFTER_SECONDS
-            )
-    return outcome
--- a/jackdawpass/process/serving/handlers.py
+++ b/jackdawpass/process/serving/handlers.py
@@ -1,7 +1,6 @@
-"""Request handlers for callers, and for instances that forward requests."""
+"""Handler of callers' requests."""
 
 import collections.abc
-import dataclasses
 import typing
 
 from returns import result
@@ -9,13 +8,13 @@
 from jackdawpass import clock
 from jackdawpass.connection import ingress
 from jackdawpass.process.serving import (
+    caller_requests,
+    forwarded_request,
     forwarding,
     gateway,
     immediate_refusals,
     peer_wire,
-    subqueries,
 )
-from jackdawpass.request import model
 from jackdawpass.version import routes
 
 # How long a request waits until this instance has listed the targets and can query them
@@ -35,10 +34,12 @@
 
     def decode_request(
         self, request: ingress.IncomingRequest
-    ) -> result.Result[gateway.CallerRequest, int]:
+    ) -> result.Result[caller_requests.CallerRequest, int]:
         """Return the decoded request, or the HTTP status that rejects it."""
 
-    def encode_outcome(self, outcome: gateway.Outcome) -> ingress.OutgoingResponse:
+    def encode_outcome(
+        self, outcome: caller_requests.Outcome
+    ) -> ingress.OutgoingResponse:
         """Return the answer to a caller."""
 
     def encode_forwarded(
@@ -185,18 +186,20 @@
 
     def _forward(
         self,
-        request: gateway.CallerRequest,
+        request: caller_requests.CallerRequest,
         deadline: float,
         on_response: ingress.OnResponse,
-        fallback: forwarding.Fallback,
+        fallback: forwarded_request.Fallback,
     ) -> ingress.Exchange:
-        def encode(timeout: float, version: int) -> bytes:
+        def encode(timeout: float, version: int, is_repeat: bool) -> bytes:
             age = request.timeout - timeout + HOP_SECONDS
-            extra = peer_wire.encode_forwarding_headers(age, version)
+            extra = peer_wire.encode_forwarding_headers(age, version, is_repeat)
             return self._wire.encode_forwarded(request.encoded, timeout, extra)
 
         timeout = max(0.0, deadline - clock.monotonic())
-        return self._forwarder.forward_request(encode, timeout, on_response, fallback)
+        return self._forwarder.forward_request(
+            request.request_id, encode, timeout, on_response, fallback
+        )
 
     def acknowledges(self, request: ingress.IncomingRequest) -> bool:
         """Return False: callers get no interim response."""
@@ -210,16 +213,16 @@
         return table is not None and table.version >= self._forwarder.version
 
     def _serve(
-        self, request: gateway.CallerRequest, on_response: ingress.OnResponse
+        self, request: caller_requests.CallerRequest, on_response: ingress.OnResponse
     ) -> ingress.Exchange:
-        def on_outcome(outcome: gateway.Outcome) -> None:
+        def on_outcome(outcome: caller_requests.Outcome) -> None:
             on_response(self._wire.encode_outcome(outcome))
 
         return self._gateway.serve(request, on_outcome)
 
     def _wait(
         self,
-        request: gateway.CallerRequest,
+        request: caller_requests.CallerRequest,
         deadline: float,
         on_response: ingress.OnResponse,
     ) -> ingress.Exchange:
@@ -240,7 +243,7 @@
         )
 
     def _serve_directly(
-        self, request: gateway.CallerRequest, on_response: ingress.OnResponse
+        self, request: caller_requests.CallerRequest, on_response: ingress.OnResponse
     ) -> ingress.Exchange:
         """Serve a request that no aggregator accepts.
 
@@ -257,122 +260,3 @@
     def _refuse(self, on_response: ingress.OnResponse) -> ingress.Exchange:
         on_response(self._wire.encode_outcome(immediate_refusals.NO_CONFIGURATION))
         return ingress.FinishedExchange()
-
-
-class PeerHandler:
-    """Handler of requests and subqueries from other instances."""
-
-    def __init__(
-        self,
-        wire: CallerDialect,
-        request_gateway: gateway.Gateway,
-        instance: InstanceState,
-    ) -> None:
-        self._wire = wire
-        self._gateway = request_gateway
-        self._instance = instance
-        self.connections: set[ingress.CallerConnection] = set()
-
-    @property
-    def caller_limits(self) -> routes.CallerLimits:
-        """Limits for callers, with twice the header size and a long idle timeout."""
-        table = self._gateway.table
-        limits = routes.CallerLimits() if table is None else table.limits
-        return routes.CallerLimits(
-            2 * limits.max_header_bytes,
-            limits.max_body_bytes,
-            limits.header_timeout,
-            IDLE_TIMEOUT_SECONDS,
-        )
-
-    @property
-    def closing(self) -> bool:
-        """False, since an instance that stops announces this in its report."""
-        return False
-
-    @property
-    def report(self) -> peer_wire.Report:
-        """State and configuration version that this instance reports to others."""
-        table = self._gateway.table
-        version = 0 if table is None else table.version
-        state = peer_wire.State.READY
-        if self._instance.stopping or not self._instance.synced:
-            state = peer_wire.State.UNREADY
-        elif self._instance.isolated:
-            state = peer_wire.State.ISOLATED
-        elif self._instance.stale:
-            state = peer_wire.State.STALE
-        return peer_wire.Report(state, version)
-
-    def on_open(self, connection: ingress.CallerConnection) -> None:
-        """Add a new connection."""
-        self.connections.add(connection)
-
-    def on_closed(self, connection: ingress.CallerConnection) -> None:
-        """Remove a closed connection."""
-        self.connections.discard(connection)
-
-    def handle(
-        self, request: ingress.IncomingRequest, on_response: ingress.OnResponse
-    ) -> ingress.Exchange:
-        """Answer a ping, or serve a forwarded request or a subquery."""
-        self._instance.follow_targets()
-        if request.target == peer_wire.PING_PATH:
-            on_response(self._with_report(ingress.OutgoingResponse(200, (), b"")))
-            return ingress.FinishedExchange()
-        decoded = self._wire.decode_request(request)
-        if isinstance(decoded, result.Failure) or not self._accepts(request):
-            return self._decline(on_response)
-        subquery = peer_wire.decode_subquery(request)
-        if subquery is not None:
-            return self._serve_subquery(decoded.unwrap(), subquery, on_response)
-
-        def on_outcome(outcome: gateway.Outcome) -> None:
-            on_response(self._with_report(self._wire.encode_outcome(outcome)))
-
-        caller_request = dataclasses.replace(
-            decoded.unwrap(), age=peer_wire.decode_age(request)
-        )
-        return self._gateway.serve(caller_request, on_outcome)
-
-    def acknowledges(self, request: ingress.IncomingRequest) -> bool:
-        """Return whether a request is a subquery.
-
-        The sender of a subquery queries the targets directly unless an interim response
-        arrives soon.
-        """
-        return request.header(peer_wire.SHARDS) is not None
-
-    def _serve_subquery(
-        self,
-        request: gateway.CallerRequest,
-        subquery: peer_wire.Subquery,
-        on_response: ingress.OnResponse,
-    ) -> ingress.Exchange:
-        def on_outcome(outcome: gateway.Outcome) -> None:
-            if isinstance(outcome, model.Answer):
-                on_response(self._with_report(subqueries.encode_answer(outcome)))
-            else:
-                on_response(self._with_report(self._wire.encode_outcome(outcome)))
-
-        if not self._instance.stopping:
-            serving = self._gateway.serve_subquery(request, subquery, on_outcome)
-            if serving is not None:
-                return serving
-        return self._decline(on_response)
-
-    def _decline(self, on_response: ingress.OnResponse) -> ingress.Exchange:
-        declined = ingress.OutgoingResponse(503, ((peer_wire.NOT_TAKEN, b"1"),), b"")
-        on_response(self._with_report(declined))
-        return ingress.FinishedExchange()
-
-    def _accepts(self, request: ingress.IncomingRequest) -> bool:
-        """Return whether the sender has seen no newer configuration version."""
-        seen = peer_wire.decode_seen_version(request)
-        return self._instance.synced and self.report.version >= seen
-
-    def _with_report(
-        self, response: ingress.OutgoingResponse
-    ) -> ingress.OutgoingResponse:
-        headers = response.headers + peer_wire.encode_report(self.report)
-        return ingress.OutgoingResponse(response.status, headers, response.body)
--- a/jackdawpass/process/serving/immediate_refusals.py
+++ b/jackdawpass/process/serving/immediate_refusals.py
@@ -1,6 +1,8 @@
 """Problems of requests that are refused before anything is sent for them."""
 
-from jackdawpass.request import problems
+import dataclasses
+
+from jackdawpass.request import model, problems
 
 # A target works off a full queue of short requests in about this time.
 RETRY_AFTER_SECONDS = 0.1
@@ -22,3 +24,13 @@
     problems.ProblemKind.UNKNOWN_SERVICE,
     "no route matches the host and path; check them against the configuration",
 )
+
+
+def cap_retry_after(
+    outcome: model.Answer | problems.Problem,
+) -> model.Answer | problems.Problem:
+    """Return the outcome with a delay of at most `RETRY_AFTER_SECONDS`."""
+    if isinstance(outcome, problems.Problem) and outcome.retry_after is not None:
+        if outcome.retry_after > RETRY_AFTER_SECONDS:
+            return dataclasses.replace(outcome, retry_after=RETRY_AFTER_SECONDS)
+    return outcome
--- a/jackdawpass/process/serving/peer_wire.py
+++ b/jackdawpass/process/serving/peer_wire.py
@@ -12,6 +12,13 @@
 STATE = b"jackdawpass-state"
 # Present in a reply that declines the request.
 NOT_TAKEN = b"jackdawpass-not-taken"
+# Value of NOT_TAKEN: the request is idempotent, but must not be forwarded again.
+NO_REPEAT = b"no-repeat"
+# Present in a request that another aggregator may already be serving.
+REPEAT = b"jackdawpass-repeat"
+# In a reply that declines a repeat: the request must run at most once, and its route
+# allows this many milliseconds.
+RUNS_ONCE_WITHIN_MS = b"jackdawpass-runs-once-within-ms"
 # Milliseconds since the request reached the forwarding instance.
 AGE_MS = b"jackdawpass-age-ms"
 # In a request the wanted shards of its route; in a reply the covered shards, each with
@@ -22,7 +29,17 @@
 # Milliseconds after which a partial reply is wanted.
 ANSWER_WITHIN_MS = b"jackdawpass-answer-within-ms"
 HEADERS = frozenset(
-    (VERSION, STATE, NOT_TAKEN, AGE_MS, SHARDS, SHARD_SET, ANSWER_WITHIN_MS)
+    (
+        VERSION,
+        STATE,
+        NOT_TAKEN,
+        REPEAT,
+        RUNS_ONCE_WITHIN_MS,
+        AGE_MS,
+        SHARDS,
+        SHARD_SET,
+        ANSWER_WITHIN_MS,
+    )
 )
 
 PING_PATH = b"/-/ping"
@@ -72,9 +89,33 @@
     return ((VERSION, b"%d" % report.version), (STATE, report.state.value.encode()))
 
 
-def encode_forwarding_headers(age: float, version: int) -> ingress.Headers:
+def encode_forwarding_headers(
+    age: float, version: int, is_repeat: bool = False
+) -> ingress.Headers:
     """Return the headers of a forwarded request; `age` is in seconds."""
-    return ((VERSION, b"%d" % version), (AGE_MS, b"%d" % round(age * 1000)))
+    headers = ((VERSION, b"%d" % version), (AGE_MS, b"%d" % round(age * 1000)))
+    return (*headers, (REPEAT, b"1")) if is_repeat else headers
+
+
+def is_repeat(request: ingress.IncomingRequest) -> bool:
+    """Return whether another aggregator may already be serving a request."""
+    return request.header(REPEAT) is not None
+
+
+def encode_runs_once(within: float) -> ingress.Headers:
+    """Return the header that declines to repeat a request; `within` is in seconds."""
+    return ((RUNS_ONCE_WITHIN_MS, b"%d" % round(within * 1000)),)
+
+
+def forbids_repeat(reply: dialect.HttpReply) -> bool:
+    """Return whether an idempotent request must not be forwarded again."""
+    return reply.header(NOT_TAKEN) == NO_REPEAT
+
+
+def decode_runs_once(reply: dialect.HttpReply) -> float | None:
+    """Return the seconds allowed to a request that must run at most once, or None."""
+    value = reply.header(RUNS_ONCE_WITHIN_MS) or b""
+    return int(value) / 1000 if value.isdigit() else None
 
 
 def decode_age(request: ingress.IncomingRequest) -> float:
--- a/jackdawpass/process/serving/targets.py
+++ b/jackdawpass/process/serving/targets.py
@@ -210,6 +210,10 @@
             for state in self._groups.get(group, ())
         )
 
+    def count_listed(self, group: str) -> int:
+        """Return the number of targets of a group, usable or not."""
+        return len(self._groups.get(group, ()))
+
     def count_usable(self, now: float, group: str) -> int:
         """Return the number of usable targets of a group."""
         return sum(state.usable(now) for state in self._groups.get(group, ()))
--- a/tests/front_mutations.py
+++ b/tests/front_mutations.py
@@ -18,6 +18,20 @@
         "            is_own = True\n",
         "tests/connection/test_http_connection.py",
     ),
+    mutation.Mutation(
+        "front: a silent aggregator may still answer",
+        "jackdawpass/process/serving/forwarded_request.py",
+        '            self._repeat("silent", link)',
+        "            self._finish(_LOST_ANSWER)",
+        "tests/process/serving/test_forwarding.py",
+    ),
+    mutation.Mutation(
+        "front: what runs once is not forwarded again",
+        "jackdawpass/process/serving/forwarded_repeats.py",
+        "    if not route.idempotent:\n",
+        "    if False:\n",
+        "tests/process/serving/test_forwarded_repeats.py",
+    ),
     mutation.Mutation(
         "front: no request for another target",
         "jackdawpass/platform/target_dialect.py",
--- a/tests/platform/test_tier_process.py
+++ b/tests/platform/test_tier_process.py
@@ -123,6 +123,48 @@
     assert [r["request_id"] for r in runs].count("lost") <= 1
 
 
+def _freeze_and_wake(zone: Zone, seconds: float) -> None:
+    """Freeze the aggregator that has a request, and wake it later."""
+    for front in zone.aggregators:
+        front.process.signal(signal.SIGSTOP)
+    time.sleep(seconds)
+    for front in zone.aggregators:
+        front.process.signal(signal.SIGCONT)
+
+
+def test_request_at_a_paused_aggregator_is_answered_once(zone: Zone) -> None:
+    """Guards against giving up running work because its instance was silent."""
+    for name in ("s0-a", "s0-b"):
+        zone.deployment.inject_faults(zone.deployment.targets[name], slow_ms=300)
+    forwarder = zone.forwarders[0]
+    rig.wait_for(lambda: _ready_links(forwarder) == 2, "links to both aggregators")
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        replies = [
+            pool.submit(forwarder.request, "/report/x", f"p{n}", 5000, "POST", b"data")
+            for n in range(4)
+        ]
+        time.sleep(0.15)
+        _freeze_and_wake(zone, 1.5)
+        assert [reply.result().status for reply in replies] == [200] * 4
+    runs = zone.deployment.runs("s0-a") + zone.deployment.runs("s0-b")
+    assert sorted(r["request_id"] for r in runs) == ["p0", "p1", "p2", "p3"]
+
+
+def test_search_at_a_killed_aggregator_is_answered(zone: Zone) -> None:
+    """Guards against a failed search that another aggregator could answer."""
+    for target in zone.deployment.targets.values():
+        zone.deployment.inject_faults(target, slow_ms=300)
+    forwarder = zone.forwarders[0]
+    rig.wait_for(lambda: _ready_links(forwarder) == 2, "links to both aggregators")
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        replies = [
+            pool.submit(forwarder.request, "/search/x", f"k{n}", 2000) for n in range(4)
+        ]
+        time.sleep(0.1)
+        zone.aggregators[0].process.signal(signal.SIGKILL)
+        assert [reply.result().status for reply in replies] == [200] * 4
+
+
 def test_stopping_aggregator_loses_no_request(zone: Zone) -> None:
     """Guards against requests that are lost in a planned stop of an aggregator."""
     forwarder = zone.forwarders[0]
--- a/tests/process/serving/test_forwarding.py
+++ b/tests/process/serving/test_forwarding.py
@@ -10,7 +10,12 @@
 
 from jackdawpass import clock
 from jackdawpass.connection import ingress
-from jackdawpass.process.serving import aggregator_link, aggregators, forwarding
+from jackdawpass.process.serving import (
+    aggregator_link,
+    aggregators,
+    forwarding,
+    peer_wire,
+)
 
 PONG = (
     b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
@@ -60,23 +65,26 @@
             factory: typing.Any = self.reactor.tcpClients.pop(0)[2]
             factory.clientConnectionFailed(None, failure.Failure(error.ConnectError()))
 
-    def reply(self, port: int, data: bytes) -> bytes:
+    def reply(self, port: int, data: bytes, start: bytes = b"GET /x") -> bytes:
         """Answer the request written to an aggregator and return the request."""
         for connection, transport in self.links[port]:
-            written = transport.value()
-            if written:
+            written = bytes(transport.value())
+            if written.startswith(start):
                 transport.clear()
                 connection.dataReceived(data)
-                return bytes(written)
+                return written
         raise AssertionError("no request was written")
 
     def make_ready(self, port: int, version: int = 1, state: bytes = b"ready") -> None:
         self.connect()
-        self.reply(port, PONG % (version, state))
+        self.reply(port, PONG % (version, state), peer_wire.PING)
 
-    def forward(self) -> forwarding.ForwardedRequest:
+    def forward(self) -> ingress.Exchange:
         return self.forwarder.forward_request(
-            lambda timeout, version: b"GET /x v%d\r\n\r\n" % version,
+            "r1",
+            lambda timeout, version, is_repeat: (
+                b"GET /x v%d%s\r\n\r\n" % (version, b" repeat" * is_repeat)
+            ),
             1.0,
             self.answers.append,
             self.fall_back,
@@ -118,17 +126,135 @@
     assert harness.fallbacks == 1
 
 
-def test_silent_aggregator_is_dropped_and_its_requests_fail(
-    ready_harness: Harness,
+def fall_silent(harness: Harness, *others: int) -> None:
+    """Let a ping time out at the aggregator of port 0; the others answer theirs."""
+    for _ in range(2):
+        harness.reactor.advance(aggregator_link.PING_SECONDS)
+        harness.connect()
+        for port in others:
+            harness.make_ready(port)
+
+
+def forward_to_silent_aggregator(harness: Harness) -> Transport:
+    """Forward a request to port 0, which falls silent; return its connection."""
+    harness.make_ready(0)
+    harness.forward()
+    harness.connect()
+    transports = [transport for _, transport in harness.links[0]]
+    (asked,) = [each for each in transports if b"/x" in each.value()]
+    return asked
+
+
+def test_silent_aggregator_is_dropped_and_may_still_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against giving up a request that a paused aggregator is serving."""
+    harness = Harness(monkeypatch, "x")
+    asked = forward_to_silent_aggregator(harness)
+    asked.clear()
+    fall_silent(harness)
+    assert not harness.forwarder.reachable
+    assert harness.answers == [] and not asked.disconnecting
+    (connection,) = [c for c, transport in harness.links[0] if transport is asked]
+    connection.dataReceived(ANSWER % (1, b"ready"))
+    assert [answer.status for answer in harness.answers] == [200]
+    assert harness.forwarder.reachable
+
+
+def test_request_without_an_answer_ends_at_its_deadline(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against requests that wait for a frozen aggregator without end."""
+    harness = Harness(monkeypatch, "x")
+    forward_to_silent_aggregator(harness)
+    fall_silent(harness)
+    harness.reactor.advance(1.0)
+    assert [answer.status for answer in harness.answers] == [504]
+
+
+def make_repeat(monkeypatch: pytest.MonkeyPatch) -> Harness:
+    """Return a harness whose request went to port 0, which is silent, and to 1."""
+    harness = Harness(monkeypatch, "xy")
+    forward_to_silent_aggregator(harness)
+    harness.make_ready(1)
+    fall_silent(harness, 1)
+    harness.connect()
+    return harness
+
+
+def test_silent_aggregators_request_goes_to_another_one(
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against requests that wait for a frozen aggregator."""
-    ready_harness.forward()
-    ready_harness.connect()
-    ready_harness.reactor.advance(aggregator_link.PING_SECONDS)
-    ready_harness.connect()
-    ready_harness.reactor.advance(aggregator_link.PING_SECONDS)
-    assert [answer.status for answer in ready_harness.answers] == [502]
-    assert not ready_harness.forwarder.reachable
+    harness = make_repeat(monkeypatch)
+    assert b"repeat" in harness.reply(1, ANSWER % (1, b"ready"))
+    assert [answer.status for answer in harness.answers] == [200]
+    assert any(transport.disconnecting for _, transport in harness.links[0])
+
+
+def decline(harness: Harness, port: int, headers: bytes) -> None:
+    """Decline the request written to an aggregator."""
+    harness.reply(port, (PONG % (1, b"ready")).replace(b"\r\n", headers, 1))
+
+
+def test_request_that_must_run_once_waits_for_its_route_s_timeout(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against running a request twice, and against waiting beyond its route."""
+    harness = make_repeat(monkeypatch)
+    decline(
+        harness,
+        1,
+        b"\r\njackdawpass-not-taken: no-repeat\r\n"
+        b"jackdawpass-runs-once-within-ms: 900\r\n",
+    )
+    assert harness.answers == []
+    harness.reactor.advance(0.1)
+    assert [answer.status for answer in harness.answers] == [504]
+
+
+def test_request_that_may_not_be_repeated_here_ends_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against holding a caller that may repeat its request."""
+    harness = make_repeat(monkeypatch)
+    decline(harness, 1, b"\r\njackdawpass-not-taken: no-repeat\r\n")
+    assert [answer.status for answer in harness.answers] == [502]
+
+
+def test_refused_repeat_is_not_reported_as_not_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a 503 for a request that the first aggregator may have run."""
+    harness = make_repeat(monkeypatch)
+    harness.reply(1, (ANSWER % (1, b"ready")).replace(b"200 OK", b"503 Full"))
+    assert [answer.status for answer in harness.answers] == [502]
+
+
+def test_request_of_a_lost_aggregator_is_sent_as_a_repeat(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a 502 for a request that another aggregator can answer."""
+    harness = Harness(monkeypatch, "xy")
+    asked = forward_to_silent_aggregator(harness)
+    harness.make_ready(1)
+    (connection,) = [c for c, transport in harness.links[0] if transport is asked]
+    connection.connectionLost(failure.Failure(error.ConnectionLost()))
+    harness.connect()
+    assert b"repeat" in harness.reply(1, ANSWER % (1, b"ready"))
+    assert [answer.status for answer in harness.answers] == [200]
+
+
+def test_request_of_the_only_aggregator_lost_is_uncertain(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against serving a request again that must perhaps run once."""
+    harness = Harness(monkeypatch, "x")
+    asked = forward_to_silent_aggregator(harness)
+    (connection,) = [c for c, transport in harness.links[0] if transport is asked]
+    connection.connectionLost(failure.Failure(error.ConnectionLost()))
+    assert [answer.status for answer in harness.answers] == [502]
+    assert harness.fallbacks == 0
 
 
 def test_own_stall_is_not_attributed_to_the_aggregator(
@@ -258,7 +384,7 @@
     harness.make_ready(9)
     harness.reactor.advance(aggregator_link.PING_SECONDS)
     harness.connect()
-    harness.reply(0, PONG % (1, b"ready"))
+    harness.make_ready(0)
     assert chosen_name(harness) == "x"
     harness.forwarder.tick(forwarding.REMOTE_LINK_SECONDS + 1.0)
     assert harness.forwarder.choose(("x",)) is None
--- a/tests/process/serving/test_gateway.py
+++ b/tests/process/serving/test_gateway.py
@@ -7,12 +7,20 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from jackdawpass.platform import target_dialect
-from jackdawpass.process.serving import gateway, peer_wire, prometheus_metrics, repeats
+from jackdawpass.process.serving import (
+    caller_requests,
+    gateway,
+    peer_wire,
+    prometheus_metrics,
+    repeats,
+)
 from jackdawpass.version import routes
 
 SHARDS = ("s0", "s1", "s2")
 ROUTE = routes.Route("r", "h", "/x/", True, SHARDS, (), 1.0, 0.1)
-REQUEST = gateway.CallerRequest("q", "h", "/x/1", 1.0, b"GET /x/1 HTTP/1.1\r\n\r\n")
+REQUEST = caller_requests.CallerRequest(
+    "q", "h", "/x/1", 1.0, b"GET /x/1 HTTP/1.1\r\n\r\n"
+)
 
 
 @pytest.fixture
--- a/tests/process/serving/test_handlers.py
+++ b/tests/process/serving/test_handlers.py
@@ -6,7 +6,14 @@
 from returns import result
 
 from jackdawpass.connection import ingress
-from jackdawpass.process.serving import gateway, handlers, peer_wire, timing
+from jackdawpass.process.serving import (
+    caller_requests,
+    forwarded_repeats,
+    handlers,
+    peer_handler,
+    peer_wire,
+    timing,
+)
 from jackdawpass.version import routes
 
 SHARD_SET = "s7"
@@ -34,8 +41,8 @@
 
     def decode_request(
         self, request: ingress.IncomingRequest
-    ) -> result.Result[gateway.CallerRequest, int]:
-        return result.Success(gateway.CallerRequest("r", "h", "/", 1.0, b""))
+    ) -> result.Result[caller_requests.CallerRequest, int]:
+        return result.Success(caller_requests.CallerRequest("r", "h", "/", 1.0, b""))
 
     def encode_outcome(self, outcome: object) -> ingress.OutgoingResponse:
         return ingress.OutgoingResponse(200, (), b"")
@@ -53,19 +60,25 @@
         self.table: routes.RoutingTable | None = routes.RoutingTable(
             7, (), (), routes.CallerLimits()
         )
-        self.served: list[gateway.CallerRequest] = []
+        self.served: list[caller_requests.CallerRequest] = []
         self.subqueries: list[peer_wire.Subquery] = []
+        self.review = forwarded_repeats.Review(True)
 
     def serve(
-        self, request: gateway.CallerRequest, on_outcome: typing.Any
+        self, request: caller_requests.CallerRequest, on_outcome: typing.Any
     ) -> ingress.Exchange:
         self.served.append(request)
         on_outcome(None)
         return self  # type: ignore[return-value]
 
+    def review_repeat(
+        self, request: caller_requests.CallerRequest
+    ) -> forwarded_repeats.Review:
+        return self.review
+
     def serve_subquery(
         self,
-        request: gateway.CallerRequest,
+        request: caller_requests.CallerRequest,
         subquery: peer_wire.Subquery,
         on_outcome: object,
     ) -> ingress.Exchange | None:
@@ -81,7 +94,7 @@
         self.gateway = FakeGateway()
         wire: typing.Any = FakeDialect()
         fake_gateway: typing.Any = self.gateway
-        self.handler = handlers.PeerHandler(wire, fake_gateway, self.instance)
+        self.handler = peer_handler.PeerHandler(wire, fake_gateway, self.instance)
 
     def send_subquery(
         self, shard_set: str = SHARD_SET
@@ -127,6 +140,20 @@
     assert is_accepted(peer.send(jackdawpass_version="7"))
 
 
+def test_repeat_is_served_or_declined_with_the_reason(peer: PeerHarness) -> None:
+    """Guards against running a request again that must run at most once."""
+    assert is_accepted(peer.send(jackdawpass_repeat="1"))
+    assert peer.gateway.served.pop().is_repeat
+    peer.gateway.review = forwarded_repeats.Review(False, 2.5)
+    declined = dict(peer.send(jackdawpass_repeat="1").headers)
+    assert declined[peer_wire.RUNS_ONCE_WITHIN_MS] == b"2500"
+    peer.gateway.review = forwarded_repeats.DECLINED
+    declined = dict(peer.send(jackdawpass_repeat="1").headers)
+    assert declined[peer_wire.NOT_TAKEN] == peer_wire.NO_REPEAT
+    assert peer_wire.RUNS_ONCE_WITHIN_MS not in declined
+    assert not peer.gateway.served
+
+
 def test_unsynced_instance_declines_and_follows_targets(
     peer: PeerHarness,
 ) -> None:
