Answer the callers that a stopping instance accepted last

Cause: a stopping instance without a request under way closed its port and all connections in one step, those that had just been accepted or were about to send a request included. The balancer sends callers to such instances if it has few others. Four callers that connect without pause and send 50 ms later lost their last request in 3 of 3 planned stops.

Change: the last steps are to accept what waits at the port and close it, to answer what arrives on connections opened or answered within 0.2 s, and to exit; the port closes 1.5 s before the kill at the latest. The port is closed in the iteration in which its backlog was read: with stopListening, 2 of 32 stops still lost a request.

--- a/jackdawpass/connection/ingress.py
+++ b/jackdawpass/connection/ingress.py
@@ -6,9 +6,10 @@
 import typing
 
 import httptools
-from twisted.internet import protocol
+from twisted.internet import error, protocol
 from twisted.python import failure
 
+from jackdawpass import clock
 from jackdawpass.connection import reply_limits
 from jackdawpass.version import routes
 
@@ -40,6 +41,9 @@
     504: "Gateway Timeout",
 }
 
+# Backlog of connections to accept; a full backlog delays new callers by seconds.
+MAX_WAITING_CONNECTIONS = 512
+
 INTERIM_RESPONSE = b"HTTP/1.1 102 Processing\r\n\r\n"
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -141,6 +145,12 @@
         self._serving = False
         self._closed = False
         self._timer: typing.Any = None
+        self._idle_since = clock.monotonic()
+
+    @property
+    def idle_since(self) -> float:
+        """Monotonic time at which the connection was opened or last answered."""
+        return self._idle_since
 
     @property
     def idle(self) -> bool:
@@ -302,6 +312,7 @@
             self.close()
             return
         self._limits = self._handler.caller_limits
+        self._idle_since = clock.monotonic()
         if self._pending:
             self._reactor.callLater(0, self._serve_next)
         elif not self._receiving:
@@ -346,6 +357,24 @@
         return CallerConnection(self._reactor, self._handler)
 
 
+def stop_listening(port: typing.Any) -> None:
+    """Accept all connections that wait at a port, then close it at once.
+
+    `stopListening` closes the port an iteration of the event loop later; the kernel
+    would reset the connections that were established meanwhile.
+
+    Parameters
+    ----------
+    port : tcp.Port
+        The listening port.
+    """
+    port.stopReading()
+    # Ends at the first accept that would block.
+    port.numberAccepts = MAX_WAITING_CONNECTIONS
+    port.doRead()
+    port.connectionLost(failure.Failure(error.ConnectionDone()))
+
+
 def encode_response(response: OutgoingResponse, is_last: bool) -> bytes:
     """Encode a response; `is_last` says that the connection closes after it."""
     reason = REASONS.get(response.status, "Status")
--- a/jackdawpass/process/serving/front.py
+++ b/jackdawpass/process/serving/front.py
@@ -29,8 +29,6 @@
 
 _logger = logs.get_logger(__name__)
 
-# Backlog of connections to accept; a full backlog delays new callers by seconds.
-LISTEN_BACKLOG = 512
 # How long targets are followed after they were last needed; covers a restart of an
 # aggregator. A new listing costs three calls, following costs several calls a second.
 FOLLOW_SECONDS = 2.5
@@ -110,6 +108,7 @@
         self._isolated = False
         self._shutdown = shutdown.Shutdown(options.stop_seconds)
         self._ports: list[typing.Any] = []
+        self._callers_port: typing.Any = None
         self._stopped: defer.Deferred[None] = defer.Deferred()
         self._ticker = task.LoopingCall(self._tick)
         self._ticked_at = clock.monotonic()
@@ -161,7 +160,7 @@
     def start(self) -> None:
         """Listen, register the instance, and start the periodic tick."""
         options = self._options
-        self._listen(options.callers, self._callers)
+        self._callers_port = self._listen(options.callers, self._callers)
         self._listen(options.peers, self._peers)
         self._listen(options.readiness, pages.PageHandler(self._readiness_page))
         if options.metrics_port:
@@ -322,15 +321,23 @@
 
     def _update_shutdown(self, now: float) -> None:
         connections = self._callers.connections
-        idle = [connection for connection in connections if connection.idle]
+        idle = [
+            connection
+            for connection in connections
+            if connection.idle and not shutdown.is_recent(now, connection.idle_since)
+        ]
         busy_peers = sum(not each.idle for each in self._peers.connections)
         busy = len(connections) - len(idle) + busy_peers
         step = self._shutdown.next_step(now, busy)
-        if step is shutdown.Step.CLOSE_IDLE:
+        if step is shutdown.Step.EXIT:
+            self._exit()
+        elif step is not shutdown.Step.SERVE:
             for connection in idle:
                 connection.close()
-        elif step is shutdown.Step.EXIT:
-            self._exit()
+        if step is shutdown.Step.STOP_LISTENING and self._callers_port is not None:
+            port, self._callers_port = self._callers_port, None
+            self._ports.remove(port)
+            ingress.stop_listening(port)
 
     def _exit(self) -> None:
         self._ticker.stop()
@@ -344,12 +351,15 @@
             port.stopListening()
         self._stopped.callback(None)
 
-    def _listen(self, address: settings.Address, handler: ingress.Handler) -> None:
+    def _listen(
+        self, address: settings.Address, handler: ingress.Handler
+    ) -> typing.Any:
         factory = ingress.CallerFactory(self._reactor, handler)
         port = self._reactor.listenTCP(
-            address.port, factory, LISTEN_BACKLOG, address.host
+            address.port, factory, ingress.MAX_WAITING_CONNECTIONS, address.host
         )
         self._ports.append(port)
+        return port
 
     def _listen_for_metrics(self) -> None:
         address = settings.Address(
--- a/jackdawpass/process/serving/shutdown.py
+++ b/jackdawpass/process/serving/shutdown.py
@@ -8,6 +8,12 @@
 BALANCER_REMOVAL_SECONDS = 2.6
 # The process exits this long before it would be killed, even with open requests.
 EXIT_MARGIN_SECONDS = 0.4
+# It stops listening this long before it would be killed, so that the last callers can
+# be answered.
+LISTEN_MARGIN_SECONDS = 1.5
+# A connection that was opened or answered less than this ago may be sending a request:
+# one crossing of the network, and its time in the queue of connections to accept.
+RECENT_SECONDS = 0.2
 
 
 class Step(enum.Enum):
@@ -15,6 +21,7 @@
 
     SERVE = "serve"
     CLOSE_IDLE = "close_idle"
+    STOP_LISTENING = "stop_listening"
     EXIT = "exit"
 
 
@@ -30,6 +37,7 @@
     def __init__(self, limit: float) -> None:
         self._limit = limit
         self._begun_at: float | None = None
+        self._listened_until: float | None = None
 
     def change_limit(self, limit: float) -> None:
         """Apply a changed limit."""
@@ -46,7 +54,11 @@
             self._begun_at = now
 
     def next_step(self, now: float, busy: int) -> Step:
-        """Return the next step; `busy` is the number of connections with a request."""
+        """Return the next step.
+
+        `busy` is the number of connections with a request, or opened recently. Idle
+        connections are closed at each step after `SERVE`.
+        """
         if self._begun_at is None:
             return Step.SERVE
         age = now - self._begun_at
@@ -54,4 +66,15 @@
             return Step.EXIT
         if age < BALANCER_REMOVAL_SECONDS:
             return Step.SERVE
-        return Step.CLOSE_IDLE if busy else Step.EXIT
+        if self._listened_until is None:
+            if busy and age < self._limit - LISTEN_MARGIN_SECONDS:
+                return Step.CLOSE_IDLE
+            self._listened_until = now
+        if busy or now < self._listened_until + RECENT_SECONDS:
+            return Step.STOP_LISTENING
+        return Step.EXIT
+
+
+def is_recent(now: float, idle_since: float) -> bool:
+    """Return whether a connection without a request may be sending one."""
+    return now - idle_since < RECENT_SECONDS
--- a/tests/front_mutations.py
+++ b/tests/front_mutations.py
@@ -32,6 +32,13 @@
         "    if False:\n",
         "tests/process/serving/test_forwarded_repeats.py",
     ),
+    mutation.Mutation(
+        "front: the last callers accepted are answered",
+        "jackdawpass/process/serving/shutdown.py",
+        "        if busy or now < self._listened_until + RECENT_SECONDS:\n",
+        "        if busy:\n",
+        "tests/process/serving/test_shutdown.py",
+    ),
     mutation.Mutation(
         "front: no request for another target",
         "jackdawpass/platform/target_dialect.py",
--- a/tests/platform/test_front_process.py
+++ b/tests/platform/test_front_process.py
@@ -4,6 +4,7 @@
 import http.client
 import pathlib
 import signal
+import socket
 import time
 
 import pytest
@@ -268,3 +269,45 @@
     assert [reply.status for reply in replies] == [200] * 12
     assert replies[-1].headers["connection"] == "close"
     assert front.process.wait(6.0) == 0
+
+
+def _send_late(port: int, delay: float) -> bytes | None:
+    """Open a connection, send a request after a delay, and return the response.
+
+    Returns None if no connection is accepted.
+    """
+    try:
+        connection = socket.create_connection(("127.0.0.1", port), 2.0)
+    except OSError:
+        return None
+    with connection:
+        time.sleep(delay)
+        head = f"GET /lookup/x HTTP/1.1\r\nHost: {site.HOST}\r\n"
+        try:
+            connection.sendall(f"{head}X-Request-Deadline: 2000\r\n\r\n".encode())
+            return connection.recv(65536)
+        except OSError:
+            return b""
+
+
+def test_planned_stop_answers_requests_accepted_last(deployment: site.Site) -> None:
+    """Guards against cutting off callers that connect up to the exit.
+
+    The balancer sends new callers to stopping instances too, if it has no others.
+    """
+    front = deployment.add_front()
+    answers: list[bytes] = []
+
+    def call_until_refused() -> None:
+        while (answer := _send_late(front.port, 0.05)) is not None:
+            answers.append(answer)
+
+    with concurrent.futures.ThreadPoolExecutor(4) as callers:
+        loops = [callers.submit(call_until_refused) for _ in range(4)]
+        time.sleep(0.2)
+        front.process.signal(signal.SIGTERM)
+        for loop in loops:
+            loop.result()
+    assert len(answers) > 100
+    assert {answer[:12] for answer in answers} == {b"HTTP/1.1 200"}
+    assert front.process.wait(6.0) == 0
--- a/tests/process/serving/test_shutdown.py
+++ b/tests/process/serving/test_shutdown.py
@@ -27,8 +27,28 @@
 def test_running_requests_finish_first() -> None:
     """Guards against requests that the shutdown aborts."""
     after = 10.0 + shutdown.BALANCER_REMOVAL_SECONDS + 0.1
-    assert begin_shutdown().next_step(after, 1) is shutdown.Step.CLOSE_IDLE
-    assert begin_shutdown().next_step(after, 0) is shutdown.Step.EXIT
+    steps = begin_shutdown()
+    assert steps.next_step(after, 1) is shutdown.Step.CLOSE_IDLE
+    assert steps.next_step(after, 0) is shutdown.Step.STOP_LISTENING
+    ended = after + shutdown.RECENT_SECONDS
+    assert steps.next_step(ended, 1) is shutdown.Step.STOP_LISTENING
+    assert steps.next_step(ended, 0) is shutdown.Step.EXIT
+
+
+def test_last_accepted_callers_are_answered_before_the_exit() -> None:
+    """Guards against cutting off a request that arrives just before the exit."""
+    after = 10.0 + shutdown.BALANCER_REMOVAL_SECONDS + 0.1
+    steps = begin_shutdown()
+    assert steps.next_step(after, 0) is shutdown.Step.STOP_LISTENING
+    soon = after + shutdown.RECENT_SECONDS / 2
+    assert steps.next_step(soon, 0) is shutdown.Step.STOP_LISTENING
+    assert shutdown.is_recent(soon, after) and not shutdown.is_recent(soon, 10.0)
+
+
+def test_new_callers_are_not_accepted_up_to_the_kill() -> None:
+    """Guards against callers without end that are cut off by the kill."""
+    late = 10.0 + LIMIT - shutdown.LISTEN_MARGIN_SECONDS
+    assert begin_shutdown().next_step(late, 9) is shutdown.Step.STOP_LISTENING
 
 
 def test_process_ends_before_the_kill() -> None:
