Let forwarding instances follow the targets only while no aggregator answers

Cause: since an instance that learned its part acted on it at once, when no aggregator had answered its first ping yet. Each of 195 instances then listed and watched all targets for 2.5 s at its start.

Change: at a new list of instances only one that asks targets itself follows them at once; the others decide at their next tick as before.

--- a/jackdawpass/process/serving/front.py
+++ b/jackdawpass/process/serving/front.py
@@ -269,7 +269,8 @@
             aggregators=[member.name for member in chosen],
             instances=len(members),
         )
-        self._update_following(clock.monotonic())
+        if self._asks_targets:
+            self.follow_targets()
 
     def _put_in_force(self, table: routes.RoutingTable) -> None:
         before = self._gateway.table
--- a/tests/platform/test_tier_process.py
+++ b/tests/platform/test_tier_process.py
@@ -165,6 +165,19 @@
         assert [reply.result().status for reply in replies] == [200] * 4
 
 
+def test_started_forwarder_does_not_list_the_targets(zone: Zone) -> None:
+    """Guards against calls to the store by all instances that start together.
+
+    An instance that has just learned its part has no answer of an aggregator yet.
+    """
+    name = "front-9"
+    started = zone.deployment.start_front(name)
+    rig.wait_for(started.ready, "the front is ready")
+    assert not _asks_targets(started), "the test needs an instance that forwards"
+    time.sleep(0.3)
+    assert not [line for line in started.process.lines if '"targets_followed"' in line]
+
+
 def test_stopping_aggregator_loses_no_request(zone: Zone) -> None:
     """Guards against requests that are lost in a planned stop of an aggregator."""
     forwarder = zone.forwarders[0]
