Count late answers beside full targets as an overload

Change: an answer after the route's objective counts as failed in the throttle while one of the route's targets has refused an attempt in the last 0.5 s. Late answers of slow targets that have room still refuse nothing. One failure less is tolerated, as an instance sees few requests a second.

--- a/jackdawpass/process/serving/gateway.py
+++ b/jackdawpass/process/serving/gateway.py
@@ -196,7 +196,9 @@
         def finish(outcome: caller_requests.Outcome) -> None:
             finished_at = clock.monotonic()
             observer.finished(outcome)
-            self._throttles.on_outcome(finished_at, route, outcome)
+            is_late = finished_at - now + request.age > route.latency_objective
+            is_full = is_late and self._targets.has_full(finished_at, groups)
+            self._throttles.on_outcome(finished_at, route, outcome, is_late, is_full)
             self._metrics.finished(route.name, finished_at - now, outcome)
             on_outcome(immediate_refusals.cap_retry_after(outcome))
 
--- a/jackdawpass/process/serving/targets.py
+++ b/jackdawpass/process/serving/targets.py
@@ -210,6 +210,14 @@
             for state in self._groups.get(group, ())
         )
 
+    def has_full(self, now: float, groups: collections.abc.Iterable[str]) -> bool:
+        """Return whether a target of some groups has recently refused an attempt."""
+        return any(
+            state.is_full(now)
+            for group in groups
+            for state in self._groups.get(group, ())
+        )
+
     def count_listed(self, group: str) -> int:
         """Return the number of targets of a group, usable or not."""
         return len(self._groups.get(group, ()))
--- a/jackdawpass/process/serving/throttle.py
+++ b/jackdawpass/process/serving/throttle.py
@@ -11,7 +11,7 @@
 from jackdawpass.request import model, problems
 from jackdawpass.version import routes
 
-# Requests are admitted at this multiple of the rate of those that were answered. The
+# Requests are admitted at this multiple of the rate of those answered in time. The
 # surplus detects the end of an overload, and is the work that is wasted meanwhile.
 ADMITTED_RATIO = 2.0
 # Half-life of the counts: a few requests of one instance on one route.
@@ -22,7 +22,7 @@
 MAX_RETRY_SECONDS = 0.9
 MAX_RETRY_SHARE = 1 / 3
 # Failed requests that are tolerated before the first one is refused.
-TOLERATED_FAILURES = 2.0
+TOLERATED_FAILURES = 1.0
 
 Outcome = model.Answer | problems.Problem
 
@@ -121,12 +121,29 @@
             delay,
         )
 
-    def on_outcome(self, now: float, route: routes.Route, outcome: Outcome) -> None:
-        """Record the outcome of a request that was sent."""
+    def on_outcome(
+        self,
+        now: float,
+        route: routes.Route,
+        outcome: Outcome,
+        is_late: bool = False,
+        is_target_full: bool = False,
+    ) -> None:
+        """Record the outcome of a request that was sent.
+
+        Parameters
+        ----------
+        is_late : bool
+            True if the outcome took longer than the route's objective.
+        is_target_full : bool
+            True if a target of the route has recently refused an attempt. Without it,
+            late answers come from slow targets, which are no faster with fewer
+            requests.
+        """
         throttle = self._throttles.get(route.name)
         if throttle is None:
             return
-        if _is_overload(outcome):
+        if _is_overload(outcome) or (is_late and is_target_full):
             throttle.on_overload(now)
         else:
             throttle.on_answered(now)
--- a/tests/front_mutations.py
+++ b/tests/front_mutations.py
@@ -39,6 +39,13 @@
         "        if busy:\n",
         "tests/process/serving/test_shutdown.py",
     ),
+    mutation.Mutation(
+        "front: late answers beside full targets are an overload",
+        "jackdawpass/process/serving/throttle.py",
+        "        if _is_overload(outcome) or (is_late and is_target_full):",
+        "        if _is_overload(outcome):",
+        "tests/process/serving/test_throttle.py",
+    ),
     mutation.Mutation(
         "front: no request for another target",
         "jackdawpass/platform/target_dialect.py",
--- a/tests/process/serving/test_targets.py
+++ b/tests/process/serving/test_targets.py
@@ -111,3 +111,13 @@
     """Guards against avoiding a target for failures that it did not cause."""
     failure = model.AttemptFailure(kind, model.Execution.NOT_SENT)
     assert not targets.is_health_signal(failure)
+
+
+def test_full_target_of_a_group_is_known_for_a_moment() -> None:
+    """Guards against refusing requests for targets that have room again."""
+    all_targets = make_targets(listed("x"), listed("y"))
+    assert not all_targets.has_full(0.0, ["g"])
+    all_targets.states["y"].on_shed(0.0)
+    assert all_targets.has_full(0.1, ["other", "g"])
+    assert not all_targets.has_full(0.1, ["other"])
+    assert not all_targets.has_full(targets.FULL_SECONDS, ["g"])
--- a/tests/process/serving/test_throttle.py
+++ b/tests/process/serving/test_throttle.py
@@ -53,6 +53,25 @@
     assert throttles.refusal(2.0, ROUTE, 1.0) is None
 
 
+@pytest.mark.parametrize(("is_target_full", "refuses"), [(True, True), (False, False)])
+def test_late_answers_count_beside_full_targets_only(
+    throttles: throttle.RouteThrottles, is_target_full: bool, refuses: bool
+) -> None:
+    """Guards against an overload in which all answers come late.
+
+    Answers of slow targets that have room are late too, and no earlier with fewer
+    requests.
+    """
+    refused = 0
+    for number in range(200):
+        now = number / 50
+        if throttles.refusal(now, ROUTE, 1.0) is not None:
+            refused += 1
+            continue
+        throttles.on_outcome(now, ROUTE, ANSWER, True, is_target_full)
+    assert (refused > 50) == refuses and (refused == 0) == (not refuses)
+
+
 def test_refusal_says_not_run_and_when_to_return(
     throttles: throttle.RouteThrottles,
 ) -> None:
