--- a/jackdawpass/timeline/front_log.py
+++ b/jackdawpass/timeline/front_log.py
@@ -30,6 +30,8 @@
         "reaches_other_zones",
         "targets_followed",
         "targets_no_longer_followed",
+        "zone_back",
+        "request_forwarded_again",
         "log_lines_dropped",
     )
 )
--- a/tests/platform/test_front_process.py
+++ b/tests/platform/test_front_process.py
@@ -201,6 +201,20 @@
     assert deployment.runs("s1-a") == []
 
 
+def test_restarted_front_uses_no_target_that_has_left(deployment: site.Site) -> None:
+    """Guards against state from before a restart that outlives a target's leave."""
+    front = deployment.add_front()
+    assert front.request("/lookup/x", "before").status == 200
+    deployment.list_target("s0-a", state="draining")
+    deployment.list_target("s0-b", service="s9")
+    front.process.signal(signal.SIGKILL)
+    restarted = deployment.add_front()
+    assert restarted.request("/lookup/x", "after").status == 503
+    assert restarted.request("/search/x", "after").headers["x-parts-missing"] == "1"
+    runs = deployment.runs("s0-a") + deployment.runs("s0-b")
+    assert "after" not in {run["request_id"] for run in runs}
+
+
 def test_change_swallowed_by_a_silent_store_is_in_force_after_it(
     deployment: site.Site,
 ) -> None:
--- a/tests/platform/test_tier_process.py
+++ b/tests/platform/test_tier_process.py
@@ -165,6 +165,41 @@
         assert [reply.result().status for reply in replies] == [200] * 4
 
 
+def test_nothing_runs_twice_while_aggregators_take_over(zone: Zone) -> None:
+    """Guards against two instances that both act on a request around a hand-over."""
+    for name in ("s0-a", "s0-b"):
+        zone.deployment.inject_faults(zone.deployment.targets[name], slow_ms=40)
+    forwarder = zone.forwarders[0]
+    first, second = zone.aggregators
+    with concurrent.futures.ThreadPoolExecutor(6) as pool:
+        replies = []
+        for number in range(90):
+            name = f"o{number}"
+            replies.append(
+                pool.submit(
+                    forwarder.request, "/report/x", name, 5000, "POST", b"order"
+                )
+            )
+            if number == 15:
+                first.process.signal(signal.SIGSTOP)
+            elif number == 45:
+                first.process.signal(signal.SIGCONT)
+                second.process.signal(signal.SIGTERM)
+            elif number == 75:
+                first.process.signal(signal.SIGKILL)
+            time.sleep(0.03)
+        statuses = {
+            f"o{number}": reply.result().status for number, reply in enumerate(replies)
+        }
+    runs = zone.deployment.runs("s0-a") + zone.deployment.runs("s0-b")
+    names = [run["request_id"] for run in runs]
+    assert len(names) == len(set(names))
+    ran = {name for name, status in statuses.items() if status == 200}
+    not_run = {name for name, status in statuses.items() if status == 503}
+    assert ran <= set(names) and not not_run & set(names)
+    assert len(ran) >= 80
+
+
 def test_started_forwarder_does_not_list_the_targets(zone: Zone) -> None:
     """Guards against calls to the store by all instances that start together.
 
--- a/tests/timeline/test_front_log.py
+++ b/tests/timeline/test_front_log.py
@@ -31,6 +31,8 @@
     line("store_away", 2.4, reason="status 429"),
     line("started", 9.0),
     line("store_back", 9.5),
+    line("request_forwarded_again", 9.6, request_id="r2", aggregator="f7",
+         reason="silent"),
 ]  # fmt: skip
 
 
@@ -46,8 +48,9 @@
         (events.Kind.BELIEF_CHANGED, "store_away status 429"),
         (events.Kind.STARTED, ""),
         (events.Kind.BELIEF_CHANGED, "store_back"),
+        (events.Kind.BELIEF_CHANGED, "request_forwarded_again silent"),
     ]
-    assert [each.seq for each in log_events] == [1, 2, 3, 4, 5, 6, 1, 2]
+    assert [each.seq for each in log_events] == [1, 2, 3, 4, 5, 6, 1, 2, 3]
     assert {each.process for each in log_events} == {"f1.1", "f1.2"}
 
 
