--- a/tests/front_mutations.py
+++ b/tests/front_mutations.py
@@ -18,6 +18,20 @@
         "            is_own = True\n",
         "tests/connection/test_http_connection.py",
     ),
+    mutation.Mutation(
+        "front: a reply without end is ended",
+        "jackdawpass/connection/http_connection.py",
+        "        if self._exceeds_limits():\n",
+        "        if False:\n",
+        "tests/connection/test_reply_limits.py",
+    ),
+    mutation.Mutation(
+        "front: a reply cut in its head is no success",
+        "jackdawpass/connection/http_connection.py",
+        "        if self._body_ends_at_close and _is_clean_close(reason):\n",
+        "        if self._reply_started and _is_clean_close(reason):\n",
+        "tests/connection/test_reply_limits.py",
+    ),
     mutation.Mutation(
         "front: a silent aggregator may still answer",
         "jackdawpass/process/serving/forwarded_request.py",
@@ -46,6 +60,13 @@
         "        if _is_overload(outcome):",
         "tests/process/serving/test_throttle.py",
     ),
+    mutation.Mutation(
+        "front: an instance that forwards lists nothing at its start",
+        "jackdawpass/process/serving/front.py",
+        "        if self._asks_targets:\n            self.follow_targets()\n\n",
+        "        self.follow_targets()\n\n",
+        "tests/platform/test_tier_process.py",
+    ),
     mutation.Mutation(
         "front: no request for another target",
         "jackdawpass/platform/target_dialect.py",
