Do not say that a request has not run when its claim could not be read

Cause: a repeat under its Idempotency-Key got the outcome not_run while the platform's store was down, also when the first request had run and its answer was lost. Only the store can tell.

Change: such a refusal has the outcome unknown, and not_run only if the last read showed that there is no claim, or if the claim is held and its deadline has passed. The specification of the claim has the last read as part of its state, and a new invariant not_run_is_known with a fault that violates it.

--- a/jackdawpass/request/claimed_run.py
+++ b/jackdawpass/request/claimed_run.py
@@ -72,9 +72,7 @@
     def start(self) -> None:
         """Claim the request; it runs once the claim is confirmed."""
         delay = max(0.0, self._deadline - self._started)
-        self._timer = self._reactor.callLater(
-            delay, self._finish, _claim_deadline_problem()
-        )
+        self._timer = self._reactor.callLater(delay, self._finish, claims.unconfirmed())
         acquiring = claims.acquire(
             self._platform, self._key, self._writer, self._request_hash
         )
@@ -85,7 +83,7 @@
         if self._active_run is not None:
             self._active_run.caller_gone()
         else:
-            self._finish(_claim_deadline_problem())
+            self._finish(claims.unconfirmed())
 
     def _on_acquired(self, acquired: claims.AcquireResult) -> None:
         if isinstance(acquired, result.Failure):
@@ -97,7 +95,7 @@
             return
         self._claim = claim
         if self._on_finish is None or clock.monotonic() >= self._deadline:
-            self._finish(_claim_deadline_problem())
+            self._finish(_late_claim_problem())
             claims.record(self._platform, claim, claims.ClaimState.NOT_RUN)
             return
         self._stop_timer()
@@ -144,10 +142,10 @@
         self._timer = None
 
 
-def _claim_deadline_problem() -> problems.Problem:
+def _late_claim_problem() -> problems.Problem:
     return problems.not_run(
         problems.ProblemKind.CLAIM_UNAVAILABLE,
-        "the request could not be claimed in the platform's store before its deadline; "
+        "the request was claimed in the platform's store only after its deadline; "
         "retry later with the same Idempotency-Key",
         claims.RETRY_AFTER_SECONDS,
     )
--- a/specs/claim.py
+++ b/specs/claim.py
@@ -60,6 +60,8 @@
     held_version: int = 0
     reported: str = REPORTED_NOTHING
     ran: bool = False
+    # The last read showed that there was no claim.
+    read_absent: bool = False
     in_flight: tuple[Write, ...] = ()
 
 
@@ -78,6 +80,7 @@
     retry_uncertain_run: bool = False
     refuse_after_sending: bool = False
     answer_without_run: bool = False
+    refuse_unread: bool = False
 
 
 NO_FAULTS = Faults()
@@ -112,7 +115,7 @@
         yield "claim", store, _send_create(process)
     elif process.phase in (CREATING, TAKING):
         # The reply is lost, or the call times out while the write is in flight.
-        yield "lose_reply", store, _after_unconfirmed_write(process)
+        yield "lose_reply", store, _after_unconfirmed_write(process, faults)
     elif process.phase == READING:
         yield from _read_steps(store, number, process, faults)
     elif process.phase == HOLDING:
@@ -138,7 +141,7 @@
         if write.expected != store.version and not unconditional:
             # The write is rejected; its process may receive that reply.
             if _awaits_reply_to(process, write):
-                yield "conflict", store, _after_unconfirmed_write(after)
+                yield "conflict", store, _after_unconfirmed_write(after, faults)
             continue
         version = store.version + 1
         applied = Store(version, number, write.state)
@@ -153,11 +156,12 @@
 def _read_steps(
     store: Store, number: int, process: Process, faults: Faults
 ) -> typing.Iterator[Step]:
-    yield "read_fails", store, _next_try(process)
+    process = process._replace(read_absent=False)
+    yield "read_fails", store, _next_try(process, faults)
     if store.version == 0 and faults.trust_missing:
-        yield "read", store, process._replace(phase=HOLDING)
+        yield "read", store, process._replace(phase=HOLDING, read_absent=True)
     elif store.version == 0:
-        yield "read", store, _next_try(process)
+        yield "read", store, _next_try(process._replace(read_absent=True), faults)
     elif store.writer == number:
         holding = process._replace(phase=HOLDING, held_version=store.version)
         yield "read", store, holding
@@ -201,16 +205,18 @@
     return process.phase == TAKING and write == Write(process.held_version, CLAIMED)
 
 
-def _after_unconfirmed_write(process: Process) -> Process:
+def _after_unconfirmed_write(process: Process, faults: Faults) -> Process:
     if process.phase == CREATING:
         return process._replace(phase=READING)
-    return _next_try(process)
+    return _next_try(process, faults)
 
 
-def _next_try(process: Process) -> Process:
+def _next_try(process: Process, faults: Faults) -> Process:
     if process.tries < CREATE_TRIES:
         return _send_create(process)
-    return process._replace(phase=RELEASING, reported=REPORTED_NOT_RUN)
+    is_known = process.read_absent or faults.refuse_unread
+    reported = REPORTED_NOT_RUN if is_known else REPORTED_UNKNOWN
+    return process._replace(phase=RELEASING, reported=reported)
 
 
 def _send_create(process: Process) -> Process:
@@ -241,6 +247,19 @@
     )
 
 
+def not_run_is_known(values: dict[str, typing.Any]) -> bool:
+    """Return whether `not_run` was reported only after the store had shown it.
+
+    A process shows that nothing ran by reading that there is no claim, or by holding
+    the claim.
+    """
+    return all(
+        process.read_absent or process.held_version
+        for process in values["processes"]
+        if process.reported == REPORTED_NOT_RUN
+    )
+
+
 def answers_come_from_a_run(values: dict[str, typing.Any]) -> bool:
     """Return whether an answer was reported only if some process ran the request."""
     processes = values["processes"]
@@ -264,6 +283,7 @@
         invariants={
             "runs_at_most_once": runs_at_most_once,
             "not_run_never_ran": not_run_never_ran,
+            "not_run_is_known": not_run_is_known,
             "answers_come_from_a_run": answers_come_from_a_run,
         },
     )
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -159,6 +159,13 @@
             ("if head.version <= self.version:", "if False:"),
         ),
     ),
+    mutation.Mutation(
+        "not run is truth over repeats",
+        "jackdawpass/request/claims.py",
+        "return result.Failure(_unclaimed() if is_absent else unconfirmed())",
+        "return result.Failure(_unclaimed())",
+        "tests/request/test_claims.py",
+    ),
     mutation.Mutation(
         "connection limit",
         "jackdawpass/process/shares.py",
--- a/tests/specs/test_specifications.py
+++ b/tests/specs/test_specifications.py
@@ -49,6 +49,10 @@
             claim.specification(2, claim.Faults(refuse_after_sending=True)),
             "not_run_never_ran",
         ),
+        (
+            claim.specification(2, claim.Faults(refuse_unread=True)),
+            "not_run_is_known",
+        ),
         (
             claim.specification(2, claim.Faults(answer_without_run=True)),
             "answers_come_from_a_run",
