--- a/tests/front_mutations.py
+++ b/tests/front_mutations.py
@@ -105,7 +105,7 @@
     ),
     mutation.Mutation(
         "front: version never reverts over aggregators",
-        "jackdawpass/process/serving/handlers.py",
+        "jackdawpass/process/serving/peer_handler.py",
         "return self._instance.synced and self.report.version >= seen",
         "return self._instance.synced",
         "tests/process/serving/test_handlers.py",
@@ -141,15 +141,15 @@
     mutation.Mutation(
         "front: graceful stop",
         "jackdawpass/process/serving/shutdown.py",
-        "return Step.CLOSE_IDLE if busy else Step.EXIT",
-        "return Step.EXIT",
+        "            if busy and age < self._limit - LISTEN_MARGIN_SECONDS:\n",
+        "            if False:\n",
         "tests/process/serving/test_shutdown.py",
     ),
     mutation.Mutation(
         "front: lost aggregators",
-        "jackdawpass/process/serving/forwarding.py",
+        "jackdawpass/process/serving/aggregator_link.py",
         "        for request in list(self.forwarded):\n"
-        "            request.on_aggregator_lost()\n",
+        "            request.on_aggregator_silent(self)\n",
         "",
         "tests/process/serving/test_forwarding.py",
     ),
@@ -178,7 +178,7 @@
     ),
     mutation.Mutation(
         "front: stale aggregators",
-        "jackdawpass/process/serving/handlers.py",
+        "jackdawpass/process/serving/peer_handler.py",
         "        elif self._instance.stale:\n"
         "            state = peer_wire.State.STALE\n",
         "",
@@ -187,8 +187,8 @@
     mutation.Mutation(
         "soak: right records",
         "jackdawpass/request/records.py",
-        "heapq.nlargest(",
-        "heapq.nsmallest(",
+        "greatest = heapq.nlargest(limit, records)",
+        "greatest = heapq.nsmallest(limit, records)",
         "tests/soak/test_run.py",
     ),
     mutation.Mutation(
