--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from tests import mutation, mutations
+
 ROOT = pathlib.Path(__file__).parent.parent
 MAX_LINES = 400
 SOURCES = sorted(
@@ -58,3 +60,13 @@
         for module in ("typing", "dataclasses", "collections.abc"):
             line = "from " + module + " import"
             assert line not in text, path
+
+
+@pytest.mark.parametrize(
+    "each", mutations.MUTATIONS, ids=lambda each: each.guarantee.replace(" ", "-")
+)
+def test_mutations_find_their_text(each: mutation.Mutation) -> None:
+    """Guards against a mutation that no longer applies after its module was changed."""
+    source = (ROOT / each.path).read_text(encoding="utf-8")
+    for old, _ in ((each.old, each.new), *each.also):
+        assert source.count(old) == 1
