Say in the throttle that late answers count

Cause: two first lines still described the throttle before, read as a newcomer. Change: they name late answers. Measured: formatter, linter and the tests of the throttle pass; no code changes.

--- a/jackdawpass/process/serving/throttle.py
+++ b/jackdawpass/process/serving/throttle.py
@@ -60,13 +60,13 @@
         return False
 
     def on_answered(self, now: float) -> None:
-        """Record a request that was answered, or failed for another reason."""
+        """Record a request that was answered in time, or failed for another reason."""
         self._decay(now)
         self._requests += 1
         self._answered += 1
 
     def on_overload(self, now: float) -> None:
-        """Record a request that failed because targets had shed it."""
+        """Record a request that failed, or came late, because targets were full."""
         self._decay(now)
         self._requests += 1
 
