--- a/review/standins.py
+++ b/review/standins.py
@@ -76,17 +76,22 @@
 min_ttl_ms = 1000
 """
 
+_taken_ports: set[int] = set()
+
 
 class CannotRun(Exception):
     """The case could not be set up; the script exits with 2."""
 
 
 def free_port(ip: str = "127.0.0.1") -> int:
-    """Return a free port below the ephemeral range."""
+    """Return a free port below the ephemeral range, another one at each call."""
     while True:
         port = random.SystemRandom().choice(PORTS)
+        if port in _taken_ports:
+            continue
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind((ip, port))
+            _taken_ports.add(port)
             return port
 
 
