Review, case 2: one answer without end ends a process

Cause: each chunk of a reply's body is kept as an object of its own, while the limits count the payload; chunks of two bytes take 28 times as much. Done: review/2 holds the claim and a script whose servers spoil one in 20 of their answers with a body without end in chunks of two bytes.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,123 +1,208 @@
-"""A machine is stopped while an answer is on its way over a narrow link."""
+"""Servers hand out bytes that are no answer, without end, in small chunks."""
 
 import asyncio
+import os
 import pathlib
+import random
 import signal
-import socket
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import standins
 
 SERVICE = "report-export"
-ANSWER_BYTES = 3_000_000
-CLIENTS = 4
-ROUNDS = 3
-GRACE_SECONDS = 6.0
-# The client's link, and its segments and window.
-LINK_BYTES_PER_SECOND = 600_000
-SEGMENT_BYTES = 1460
-WINDOW_BYTES = 8_192
-READ_BYTES = 6_000
+SERVERS = 4
+MACHINES = 2
+MEMORY_BYTES = 222 * 1024 * 1024
+# Half of the servers spoil one in 20 of their answers, for 5.5 s at a time.
+SPOILING_SHARE = 0.5
+SPOILT_SHARE = 0.05
+SPOILING_SECONDS = 5.5
+PAUSE_SECONDS = 4.0
+SECONDS = 90.0
+REQUEST_SECONDS = 0.05
+RESTART_SECONDS = 1.0
+ENDS = 3
+CHUNKS = b"2\r\nno\r\n" * 8_192
 
 
-async def start_server(record: standins.Record) -> int:
-    """Start a sound server that answers at once, and return its port."""
+class Server:
+    """A server, which spoils a share of its answers while `spoils` is set."""
 
-    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def __init__(self, name: str, record: standins.Record) -> None:
+        self.name = name
+        self.port = standins.free_port()
+        self.spoils = False
+        self.runs = self.spoilt = 0
+        self._record = record
+        self._random = random.Random(name)
+
+    async def start(self) -> None:
+        """Listen."""
+        await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         try:
             while (request := await standins.read_message(reader)) is not None:
                 attempt = request.headers.get("x-attempt-id", "")
-                record.line(f"server ran {request.first[0]} {attempt}")
+                self.runs += 1
                 answer = {"X-Attempt-Id": attempt, "X-Response-Stamp": f"{attempt}.1"}
-                body = attempt.encode() * (ANSWER_BYTES // len(attempt))
-                writer.write(standins.encode("HTTP/1.1 200 OK", answer, body))
+                await asyncio.sleep(0.02)
+                if self.spoils and self._random.random() < SPOILT_SHARE:
+                    await self._send_without_end(attempt, writer)
+                    break
+                writer.write(standins.encode("HTTP/1.1 200 OK", answer, b"done"))
                 await writer.drain()
-                record.line(f"server has handed over the whole answer to {attempt}")
         except ConnectionError:
             pass
         finally:
             writer.close()
 
-    port = standins.free_port()
-    await asyncio.start_server(serve, "127.0.0.1", port)
-    return port
-
-
-async def client(attempt: str, front: standins.Front, record: standins.Record) -> bool:
-    """Post a request and read as fast as the link allows; return if all came."""
-    loop = asyncio.get_running_loop()
-    with socket.socket() as link:
-        link.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
-        link.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
-        link.setblocking(False)
-        await loop.sock_connect(link, (front.ip, front.port))
-        headers = {
-            "Host": standins.HOST,
-            "X-Attempt-Id": attempt,
-            "X-Request-Deadline": "8000",
-        }
-        first = "POST /report/new HTTP/1.1"
-        await loop.sock_sendall(link, standins.encode(first, headers, b"report"))
-        record.line(f"client sent {attempt}")
-        received = 0
-        started = time.monotonic()
-        why = "the connection ended"
+    async def _send_without_end(
+        self, attempt: str, writer: asyncio.StreamWriter
+    ) -> None:
+        self.spoilt += 1
+        self._record.line(f"{self.name} sends bytes without end for {attempt}")
+        head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        writer.write(head.encode())
+        sent = 0
         try:
-            while received < ANSWER_BYTES:
-                data = await loop.sock_recv(link, READ_BYTES)
-                if not data:
+            while True:
+                writer.write(CHUNKS)
+                sent += len(CHUNKS)
+                await writer.drain()
+        except ConnectionError:
+            self._record.line(
+                f"{self.name}: the caller closed after {sent} bytes for {attempt}"
+            )
+
+
+class Machine:
+    """A machine, whose process the platform restarts and keeps to its memory."""
+
+    def __init__(
+        self,
+        number: int,
+        store_port: int,
+        folder: pathlib.Path,
+        record: standins.Record,
+    ) -> None:
+        self.front = standins.Front(f"front-a-{number}", store_port, folder)
+        self.number = number
+        self.ends = 0
+        self.sent = 0
+        self.highest = 0
+        self.answers: dict[str, int] = {}
+        self._record = record
+
+    async def keep(self) -> None:
+        """Start the process again whenever it ends; kill it over its memory."""
+        while True:
+            await self.front.start()
+            self._record.line(f"{self.front.name} is started")
+            process = self.front.process
+            assert process is not None
+            while process.returncode is None:
+                await asyncio.sleep(0.05)
+                used = resident_bytes(process.pid)
+                self.highest = max(self.highest, used)
+                if used > MEMORY_BYTES:
+                    self._record.line(
+                        f"{self.front.name} uses {used >> 20} MB and is killed"
+                    )
+                    self.front.signal(signal.SIGKILL)
                     break
-                received += len(data)
-                due = started + received / LINK_BYTES_PER_SECOND
-                await asyncio.sleep(max(0.0, due - time.monotonic()))
-        except ConnectionError as reason:
-            why = repr(reason)
-        whole = received >= ANSWER_BYTES
-        end = "whole" if whole else f"cut off after {received} bytes ({why})"
-        took = time.monotonic() - started
-        record.line(f"client's answer to {attempt}: {end}, {took:.2f} s after sending")
-        return whole
+            await process.wait()
+            self.ends += 1
+            self._record.line(f"{self.front.name} has ended, time {self.ends}")
+            await asyncio.sleep(RESTART_SECONDS)
+
+    async def use(self) -> None:
+        """Send requests."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                if await self.front.ready():
+                    for _ in range(20):
+                        self.sent += 1
+                        attempt = f"{self.number:04x}{self.sent:012x}"
+                        group.create_task(self._send(attempt))
+                        await asyncio.sleep(REQUEST_SECONDS)
+                await asyncio.sleep(0.05)
+
+    async def _send(self, attempt: str) -> None:
+        headers = {"X-Attempt-Id": attempt, "X-Request-Deadline": "8000"}
+        try:
+            answer = await standins.call(
+                self.front.ip,
+                self.front.port,
+                "POST",
+                "/report/new",
+                headers,
+                b"one",
+                9.0,
+            )
+        except OSError:
+            answer = None
+        status = "none" if answer is None else answer.first[1]
+        self.answers[status] = self.answers.get(status, 0) + 1
+        if status != "200":
+            self._record.line(f"{self.front.name} was sent {attempt}: {status}")
+
+
+def resident_bytes(pid: int) -> int:
+    """Return the memory that a process uses."""
+    try:
+        fields = pathlib.Path(f"/proc/{pid}/statm").read_text().split()
+    except OSError:
+        return 0
+    pages = int(fields[1]) if len(fields) > 1 else 0
+    return pages * os.sysconf("SC_PAGE_SIZE")
 
 
 async def case(record: standins.Record, folder: pathlib.Path, trouble: bool) -> bool:
-    """Return whether requests that were passed on ended without a whole answer."""
+    """Return whether processes end by themselves three times on two machines."""
     store = standins.Store()
     store_port = await store.listen()
-    port = await start_server(record)
-    store.put("servers", "i-1", standins.server_entry(SERVICE, port))
+    servers = [Server(f"i-{n}", record) for n in range(SERVERS)]
+    for server in servers:
+        await server.start()
+        entry = standins.server_entry(SERVICE, server.port, slots=6)
+        store.put("servers", server.name, entry)
     routes = [standins.route("report", service=SERVICE, type="non_idempotent")]
-    store.put("config", "main", standins.configuration(1, routes, [SERVICE]))
-    cut = 0
-    for number in range(ROUNDS):
-        front = standins.Front(f"front-a-{number}", store_port, folder)
-        try:
-            await front.start()
-            await front.wait_ready()
-            # In touch: its processes have run for `stable_window_ms`.
-            await asyncio.sleep(4.5)
-            clients = [
-                asyncio.create_task(client(f"{number:08x}{n:08x}", front, record))
-                for n in range(CLIENTS)
-            ]
-            await asyncio.sleep(0.4)
-            stopped = time.monotonic()
+    store.put("config", "main", standins.configuration(1, routes, [SERVICE], 116))
+    machines = [Machine(n, store_port, folder, record) for n in range(MACHINES)]
+    tasks = [asyncio.create_task(machine.keep()) for machine in machines]
+    try:
+        for machine in machines:
+            await machine.front.wait_ready()
+            tasks.append(asyncio.create_task(machine.use()))
+        await asyncio.sleep(4)
+        spoiling = servers[: round(SPOILING_SHARE * SERVERS)]
+        while record.now() < SECONDS:
             if trouble:
-                front.signal(signal.SIGTERM)
-                record.line(f"SIGTERM to {front.name}")
-            assert front.process is not None
-            if trouble:
-                await asyncio.wait_for(front.process.wait(), GRACE_SECONDS + 1)
-                record.line(f"it ended {time.monotonic() - stopped:.2f} s later")
-            wholes = await asyncio.gather(*clients)
-            cut += wholes.count(False)
-        finally:
-            await front.stop()
-    summary = f"sent {ROUNDS * CLIENTS}, cut off {cut}"
-    record.line(summary)
-    print(summary)
-    return cut > 0
+                for server in spoiling:
+                    server.spoils = True
+            await asyncio.sleep(SPOILING_SECONDS)
+            for server in spoiling:
+                server.spoils = False
+            await asyncio.sleep(PAUSE_SECONDS)
+            if all(machine.ends >= ENDS for machine in machines):
+                break
+    finally:
+        for task in tasks:
+            task.cancel()
+        for machine in machines:
+            await machine.front.stop()
+    for machine in machines:
+        summary = (
+            f"{machine.front.name}: ended {machine.ends} times, highest memory "
+            f"{machine.highest >> 20} MB, answers {machine.answers}"
+        )
+        record.line(summary)
+        print(summary)
+    return sum(machine.ends >= ENDS for machine in machines) >= 2
 
 
 if __name__ == "__main__":
