--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import random
 import socket
 import sys
 
@@ -10,16 +11,22 @@
 
 SERVICE = "orders"
 BODY_BYTES = 250_000
-CLIENTS = 12
-SECONDS = 15.0
+CLIENTS = 24
+SERVERS = 5
+SECONDS = 32.0
+# Three of five servers reject one long request in 20 early, for 5 s at a time.
+EARLY_SHARE = 0.05
+SPOILING = 3
+EARLY_SECONDS = 5.0
+PAUSE_SECONDS = 4.0
 READ_BYTES = 16_384
 # Segments of an ordinary network, and a window as small as the pages say.
 SEGMENT_BYTES = 1460
-WINDOW_BYTES = 16_384
+WINDOW_BYTES = 4_096
 # One machine's share of a server is then two connections, as on the users' sites (58
 # for 20 machines).
 MAX_CONNECTIONS = 5
-ANSWERS_PER_CONNECTION = 4
+ANSWERS_PER_CONNECTION = 10
 
 
 def body_of(attempt: str) -> bytes:
@@ -30,17 +37,15 @@
 class Server:
     """A server that rejects a part of the long requests before they are in."""
 
-    def __init__(
-        self, name: str, record: standins.Record, share: float, sent: set[str]
-    ) -> None:
+    def __init__(self, name: str, record: standins.Record, sent: set[str]) -> None:
         self.name = name
         self.port = standins.free_port()
         self.faults: list[str] = []
         self.rejected = self.ran = 0
         self._record = record
-        self._share = share
         self._sent = sent
-        self._early = 0.0
+        self.rejects_early = False
+        self._random = random.Random(name)
 
     async def start(self) -> None:
         """Listen."""
@@ -83,10 +88,8 @@
             self._fault(f"request that no client sent: {head.first} id {attempt!r}")
             return False
         length = int(head.headers["content-length"])
-        self._early += self._share
-        is_early = self._early >= 1
+        is_early = self.rejects_early and self._random.random() < EARLY_SHARE
         if is_early:
-            self._early -= 1
             self.rejected += 1
             answer = {"X-Attempt-Id": attempt, "X-Not-Executed": "1"}
             writer.write(standins.encode("HTTP/1.1 503 Full", answer, b""))
@@ -136,7 +139,19 @@
         )
         status = "none" if answer is None else answer.first[1]
         record.line(f"client {number} sent {attempt}, answered {status}")
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(0.01)
+
+
+async def reject_early(servers: list[Server], record: standins.Record) -> None:
+    """Let servers reject long requests early, again and again for a time."""
+    while True:
+        for server in servers:
+            server.rejects_early = True
+            record.line(f"{server.name} rejects a part of the long requests early")
+        await asyncio.sleep(EARLY_SECONDS)
+        for server in servers:
+            server.rejects_early = False
+        await asyncio.sleep(PAUSE_SECONDS)
 
 
 async def case(record: standins.Record, folder: pathlib.Path, trouble: bool) -> bool:
@@ -144,9 +159,7 @@
     store = standins.Store()
     store_port = await store.listen()
     sent: set[str] = set()
-    servers = [
-        Server(f"i-{n}", record, 0.4 if trouble else 0.0, sent) for n in range(2)
-    ]
+    servers = [Server(f"i-{n}", record, sent) for n in range(SERVERS)]
     for server in servers:
         await server.start()
         entry = standins.server_entry(SERVICE, server.port)
@@ -158,9 +171,13 @@
     try:
         await front.start()
         await front.wait_ready()
+        if trouble:
+            spoiling = asyncio.create_task(reject_early(servers[:SPOILING], record))
         await asyncio.gather(
             *(client(number, front, record, sent) for number in range(CLIENTS))
         )
+        if trouble:
+            spoiling.cancel()
     finally:
         await front.stop()
     ran = sum(server.ran for server in servers)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,10 +14,10 @@
 SERVERS = 4
 MACHINES = 2
 MEMORY_BYTES = 222 * 1024 * 1024
-# Half of the servers spoil one in 20 of their answers, for 5.5 s at a time.
+# Half of the servers spoil one in 20 of their answers, for 5 s at a time.
 SPOILING_SHARE = 0.5
 SPOILT_SHARE = 0.05
-SPOILING_SECONDS = 5.5
+SPOILING_SECONDS = 5.0
 PAUSE_SECONDS = 4.0
 SECONDS = 90.0
 REQUEST_SECONDS = 0.05
--- a/review/drain/case.py
+++ b/review/drain/case.py
@@ -16,7 +16,7 @@
 ADDED_MACHINES = 11
 ADDED_GAP_SECONDS = 0.2
 # Share of the first index's servers that leave, and the time between two of them.
-LEAVING_SHARE = 0.18
+LEAVING_SHARE = 0.145
 LEAVING_GAP_SECONDS = 0.034
 DRAIN_SECONDS = 3.0
 # A leaving server goes on for drain_ms "and a little longer (at times many seconds)".
@@ -39,10 +39,14 @@
         self._listening: asyncio.Server | None = None
 
     async def start(self) -> None:
-        """Listen."""
-        self._listening = await asyncio.start_server(
-            self._serve, "127.0.0.1", self.port
-        )
+        """Listen, on another port if the first one was taken meanwhile."""
+        while self._listening is None:
+            try:
+                self._listening = await asyncio.start_server(
+                    self._serve, "127.0.0.1", self.port
+                )
+            except OSError:
+                self.port = standins.free_port()
 
     def entry(self, **changes: object) -> dict[str, object]:
         """Return the server's entry."""
