Keep the body of a reply in one buffer

Cause: HttpConnection kept each chunk as an object of its own, about 44 bytes for two, while max_body_bytes and ReplyMemory count the payload. tracemalloc after 28 MB of such an answer: 134 MiB of bytes objects and 33 MiB of list, where ReplyMemory had counted 8 MB; nothing else held more than 0.1 MiB.

Change: the body is a bytearray, so what is held is what is counted, and the limits that were there end the answer in time.

--- a/jackdawpass/connection/http_connection.py
+++ b/jackdawpass/connection/http_connection.py
@@ -78,7 +78,8 @@
         self._matches: MatchesRequest | None = None
         self._on_interim: OnInterim | None = None
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        # One buffer, since an object for each small chunk would need more memory.
+        self._body = bytearray()
         self._body_bytes = 0
         self._counted_bytes = 0
         self._raw_bytes = 0
@@ -159,7 +160,7 @@
         self._on_done = on_done
         self._on_interim = None
         self._discarding = True
-        self._body = []
+        self._body = bytearray()
         self._release_memory()
 
     def abort(self) -> None:
@@ -249,7 +250,7 @@
         self._body_bytes += len(body)
         if self._discarding or self._body_bytes > self._limits.max_body_bytes:
             return
-        self._body.append(body)
+        self._body += body
         if self._memory is not None and self._body_bytes > UNCOUNTED_BODY_BYTES:
             self._memory.add(self, self._body_bytes - self._counted_bytes)
             self._counted_bytes = self._body_bytes
@@ -323,9 +324,7 @@
         on_done(reply)
 
     def _reply(self) -> dialect.HttpReply:
-        return dialect.HttpReply(
-            self._status, b"".join(self._body), tuple(self._headers)
-        )
+        return dialect.HttpReply(self._status, bytes(self._body), tuple(self._headers))
 
     def _update_expiry(self, reply: dialect.HttpReply) -> None:
         idle_seconds = _idle_seconds(reply.header(b"keep-alive") or b"")
@@ -341,7 +340,7 @@
     def _clear_reply(self) -> None:
         self._release_memory()
         self._headers = []
-        self._body = []
+        self._body = bytearray()
         self._body_bytes = 0
         self._raw_bytes = 0
         self._header_bytes = 0
@@ -365,7 +364,7 @@
         self._closed = True
         self._aborted = True
         self._release_memory()
-        self._body = []
+        self._body = bytearray()
         if self.transport is not None:
             self.transport.abortConnection()  # type: ignore[attr-defined]
 
--- a/tests/connection/test_reply_limits.py
+++ b/tests/connection/test_reply_limits.py
@@ -1,6 +1,7 @@
 """Replies without end, and replies cut at any byte."""
 
 import itertools
+import tracemalloc
 
 import hypothesis
 import pytest
@@ -48,10 +49,14 @@
 class Link:
     """A connection with one exchange, and its outcomes."""
 
-    def __init__(self, memory: reply_limits.ReplyMemory | None = None) -> None:
+    def __init__(
+        self,
+        memory: reply_limits.ReplyMemory | None = None,
+        limits: reply_limits.ReplyLimits = LIMITS,
+    ) -> None:
         self.outcomes: list[dialect.HttpReply | http_connection.ExchangeError] = []
         self.transport = Transport()
-        self.connection = http_connection.HttpConnection(self, LIMITS, memory)
+        self.connection = http_connection.HttpConnection(self, limits, memory)
         self.connection.makeConnection(self.transport)
         self.connection.send(b"GET", self.outcomes.append, self._matches)
 
@@ -170,6 +175,28 @@
     assert isinstance(second.outcomes[0], dialect.HttpReply)
 
 
+def test_body_in_tiny_chunks_holds_no_more_than_is_counted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against chunk objects that fill the memory while only payload counts."""
+    monkeypatch.setattr(http_connection, "UNCOUNTED_BODY_BYTES", 0)
+    memory = reply_limits.ReplyMemory(limit=1_000_000)
+    limits = reply_limits.ReplyLimits(max_body_bytes=1_000_000)
+    link = Link(memory, limits)
+    link.receive(CHUNKED)
+    chunks = b"2\r\nno\r\n" * 8192
+    tracemalloc.start()
+    try:
+        for _ in range(16):
+            link.receive(chunks)
+        held_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert link.outcomes == [] and memory.total == 16 * 8192 * 2
+    # A buffer that grows may have some spare capacity.
+    assert held_bytes <= 2 * memory.total
+
+
 BODY = b"0123456789abcdef"
 WHOLE = {
     "length": HEAD + b"X-Stamp: s\r\nContent-Length: 16\r\n\r\n" + BODY,
