Keep the body of an upload in one buffer

Cause: as for replies, CallerConnection kept each chunk of an upload as an object of its own, while max_body_bytes counts the payload; and it held the last body of a kept connection until its next request.

Change: the body is a bytearray, which is dropped once the request is complete.

--- a/jackdawpass/connection/ingress.py
+++ b/jackdawpass/connection/ingress.py
@@ -134,7 +134,8 @@
         self._in_head = False
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        # One buffer, since an object for each small chunk would need more memory.
+        self._body = bytearray()
         self._body_bytes = 0
         self._framed_bytes = 0
         self._write_paused = False
@@ -226,7 +227,7 @@
         self._receiving = self._in_head = True
         self._target = b""
         self._headers = []
-        self._body = []
+        self._body = bytearray()
         self._body_bytes = 0
         self._set_timer(self._limits.header_timeout, self._on_header_timeout)
 
@@ -254,7 +255,7 @@
         """Collect body bytes (called by the parser)."""
         self._body_bytes += len(body)
         if self._body_bytes <= self._limits.max_body_bytes:
-            self._body.append(body)
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Queue a complete request (called by the parser)."""
@@ -266,8 +267,9 @@
             self._parser.get_method(),
             self._target,
             tuple(self._headers),
-            b"".join(self._body),
+            bytes(self._body),
         )
+        self._body = bytearray()
         self._pending.append((request, self._parser.should_keep_alive()))
 
     def _has_endless_framing(self) -> bool:
--- a/tests/connection/test_ingress.py
+++ b/tests/connection/test_ingress.py
@@ -1,5 +1,6 @@
 """Connections of callers: framing, limits, order of responses and closing."""
 
+import tracemalloc
 import typing
 
 import pytest
@@ -106,6 +107,31 @@
     assert request.body == b"abc"
 
 
+def test_upload_in_tiny_chunks_holds_little_more_than_its_payload(
+    caller: Caller,
+) -> None:
+    """Guards against uploads that hold many times the bytes of their bodies."""
+    caller.handler.caller_limits = routes.CallerLimits(100, 262_144, 3.0, 15.0)
+    upload = ingress.CallerConnection(caller.clock, caller.handler)
+    upload.makeConnection(Transport())
+    upload.dataReceived(
+        b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    payload_bytes = 240 * 1024
+    chunks = b"2\r\nab\r\n" * (payload_bytes // 2 // 16)
+    tracemalloc.start()
+    try:
+        for _ in range(16):
+            upload.dataReceived(chunks)
+        held_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    # A buffer that grows may have some spare capacity.
+    assert held_bytes <= 2 * payload_bytes
+    upload.dataReceived(b"0\r\n\r\n")
+    assert caller.handler.served[0].request.body == b"ab" * (payload_bytes // 2)
+
+
 def test_pipelined_requests_are_answered_in_order(caller: Caller) -> None:
     """Guards against a response that reaches another request."""
     caller.send(GET + GET.replace(b"/a", b"/b"))
