Count the objects that hold the headers of a reply

Cause: the limit on the head of a reply counts its bytes, but each header is held as three objects. A target that sends a head of short lines slowly holds 1.26 MB with 64 KB of them (tracemalloc); a hundred such heads fill an instance of 152 MB.

Change: each header counts 128 bytes beside its name and value, so that the limit of 64 KB holds for the memory too. A head may still have over 400 headers.

--- a/jackdawpass/connection/http_connection.py
+++ b/jackdawpass/connection/http_connection.py
@@ -16,6 +16,8 @@
 
 # Bodies up to this size are not counted in the memory of unfinished replies.
 UNCOUNTED_BODY_BYTES = 16 * 1024
+# Memory of the objects that hold one header, beside the bytes of its name and value.
+HEADER_OVERHEAD_BYTES = 128
 DEFAULT_LIMITS = reply_limits.ReplyLimits()
 
 
@@ -226,7 +228,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header (called by the parser)."""
-        self._header_bytes += len(name) + len(value)
+        self._header_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
         # Headers after the body are trailers, which are not used.
         if not self._complete and not self._in_body:
             self._headers.append((name.lower(), value))
--- a/jackdawpass/connection/reply_limits.py
+++ b/jackdawpass/connection/reply_limits.py
@@ -14,7 +14,8 @@
     Attributes
     ----------
     max_head_bytes : int
-        Size of the status line and headers, and of the framing of a short body.
+        Size of the status line and headers, and of the framing of a short body. Each
+        header also counts the memory of the objects that hold it.
     max_body_bytes : int
         Size of the decoded body.
     max_skipped_replies : int
--- a/tests/connection/test_reply_limits.py
+++ b/tests/connection/test_reply_limits.py
@@ -197,6 +197,24 @@
     assert held_bytes <= 2 * memory.total
 
 
+def test_head_of_short_lines_holds_no_more_than_its_limit() -> None:
+    """Guards against header objects that need many times the limit of a head."""
+    limits = reply_limits.ReplyLimits(max_head_bytes=64 * 1024)
+    link = Link(limits=limits)
+    link.receive(HEAD)
+    held_bytes = 0
+    tracemalloc.start()
+    try:
+        for _ in range(limits.max_head_bytes // 1000):
+            link.receive(b"a:b\r\n" * 200)
+            held_bytes = max(held_bytes, tracemalloc.get_traced_memory()[0])
+    finally:
+        tracemalloc.stop()
+    # One read may go beyond the limit before it is noticed.
+    assert held_bytes <= 2 * limits.max_head_bytes
+    assert link.outcomes == [http_connection.ExchangeError.TOO_LARGE]
+
+
 BODY = b"0123456789abcdef"
 WHOLE = {
     "length": HEAD + b"X-Stamp: s\r\nContent-Length: 16\r\n\r\n" + BODY,
