Do not reuse a connection whose request is not written yet

Cause: HttpConnection leaves what the socket does not take at once to the transport's buffer. A complete answer made the connection reusable while that buffer held a part of the body, and the next request was written to the socket directly, past it.

Change: RequestWriter writes requests and knows, as a pull producer, when the transport's buffer is empty. An answer that comes before closes the connection.

--- a/jackdawpass/connection/http_connection.py
+++ b/jackdawpass/connection/http_connection.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 client connection that carries one exchange at a time."""
 
 import collections.abc
-import contextlib
 import enum
 import functools
 import re
@@ -12,7 +11,12 @@
 from twisted.python import failure
 
 from jackdawpass import clock
-from jackdawpass.connection import dialect, reply_limits, socket_timeouts
+from jackdawpass.connection import (
+    dialect,
+    reply_limits,
+    request_writer,
+    socket_timeouts,
+)
 
 # Bodies up to this size are not counted in the memory of unfinished replies.
 UNCOUNTED_BODY_BYTES = 16 * 1024
@@ -99,6 +103,7 @@
         self._keep_alive = False
         self._closed = False
         self._aborted = False
+        self._writer: request_writer.RequestWriter | None = None
 
     @property
     def busy(self) -> bool:
@@ -153,7 +158,8 @@
         self._skipped_replies = 0
         self._received_bytes = 0
         self._discarding = False
-        self._write(request)
+        assert self._writer is not None
+        self._writer.write(request)
 
     def discard_reply(self, on_done: OnDone) -> None:
         """Discard the outstanding reply; `on_done` is called once it has ended."""
@@ -178,6 +184,7 @@
         """Disable Nagle's algorithm and detect a peer that no longer responds."""
         transport: typing.Any = self.transport
         transport.setTcpNoDelay(True)
+        self._writer = request_writer.RequestWriter(transport)
         if interfaces.ISystemHandle.providedBy(transport):
             handle: typing.Any = transport.getHandle()
             socket_timeouts.apply(handle)
@@ -302,23 +309,14 @@
             framing_bytes, self._body_bytes, limits.max_head_bytes
         )
 
-    def _write(self, data: bytes) -> None:
-        # An idle connection has no buffered bytes, so the socket can be written to at
-        # once; the transport would wait for the next iteration of the reactor.
-        assert self.transport is not None
-        sent = 0
-        if interfaces.ISystemHandle.providedBy(self.transport):
-            with contextlib.suppress(OSError):
-                handle: typing.Any = self.transport.getHandle()
-                sent = handle.send(data)
-        if sent < len(data):
-            self.transport.write(data[sent:])
-
     def _finish(self) -> None:
         on_done, self._on_done = self._on_done, None
         assert on_done is not None
         reply = self._reply()
-        reusable = self._keep_alive and not self._closed
+        # A peer may reply before it has read the request; the next request must not
+        # be written into the middle of an unfinished one.
+        assert self._writer is not None
+        reusable = self._keep_alive and not self._closed and self._writer.idle
         self._update_expiry(reply)
         self._reset_parser()
         if not reusable:
