Decode the objects of the store one by one if their page cannot be decoded

Cause: a page of a list and the answer to a watch were decoded as a whole. The decoder rejects them for one string cut in the middle of a character, or one value nested too deeply, also inside a content that is kept undecoded. The log of such an instance repeats store_call_failed with the decoder's reason.

Change: a message that cannot be decoded is split at its brackets, and its objects are decoded alone. An odd object keeps its name, so that it replaces what the entry said before; one without a name is skipped with one log line.

--- a/jackdawpass/connection/platform_api.py
+++ b/jackdawpass/connection/platform_api.py
@@ -15,16 +15,6 @@
 CALL_TIMEOUT_SECONDS = 2.0
 WATCH_GRACE_SECONDS = 2.0
 
-# Deeply nested JSON raises RecursionError; too large numbers raise OverflowError.
-_DECODE_ERRORS = (
-    msgspec.DecodeError,
-    KeyError,
-    TypeError,
-    ValueError,
-    OverflowError,
-    RecursionError,
-)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredObject:
@@ -236,7 +226,7 @@
     try:
         document = msgspec.json.decode(reply.body)
         stored = StoredObject(key, int(document["version"]), document["value"])
-    except _DECODE_ERRORS as error:
+    except errors.DECODE_ERRORS as error:
         return result.Failure(errors.CorruptObject(key, str(error)))
     return result.Success(stored)
 
@@ -261,7 +251,7 @@
         return result.Failure(errors.PlatformUnavailable(reason, uncertain=True))
     try:
         return result.Success(int(msgspec.json.decode(reply.body)["version"]))
-    except _DECODE_ERRORS as error:
+    except errors.DECODE_ERRORS as error:
         return result.Failure(errors.PlatformUnavailable(str(error), uncertain=True))
 
 
@@ -269,7 +259,7 @@
     try:
         document = msgspec.json.decode(reply.body)
         listed = tuple(_listed_instance(entry) for entry in document["instances"])
-    except _DECODE_ERRORS as error:
+    except errors.DECODE_ERRORS as error:
         return result.Failure(errors.CorruptObject("instances", str(error)))
     return result.Success(listed)
 
--- a/jackdawpass/errors.py
+++ b/jackdawpass/errors.py
@@ -2,6 +2,19 @@
 
 import dataclasses
 
+import msgspec
+
+# Raised when untrusted JSON is decoded and its values are converted. Deeply nested JSON
+# raises RecursionError; numbers that are too large raise OverflowError.
+DECODE_ERRORS = (
+    msgspec.DecodeError,
+    KeyError,
+    TypeError,
+    ValueError,
+    OverflowError,
+    RecursionError,
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fault:
--- a/jackdawpass/platform/store.py
+++ b/jackdawpass/platform/store.py
@@ -12,7 +12,7 @@
 
 from jackdawpass import errors
 from jackdawpass.connection import dialect, http_connection, pool
-from jackdawpass.platform import decoding
+from jackdawpass.platform import decoding, store_messages
 from jackdawpass.process.serving import mirror
 
 # Concurrent calls are two watches, a list and a write.
@@ -29,38 +29,6 @@
 _EXISTS_STATUS = 409
 
 
-class _Meta(msgspec.Struct):
-    """Metadata that the store keeps for an object."""
-
-    name: str
-    revision: int = 0
-
-
-class _Object(msgspec.Struct):
-    meta: _Meta
-    # Content that the writer of the object stored.
-    spec: msgspec.Raw = msgspec.Raw(b"null")
-
-
-class _List(msgspec.Struct):
-    items: list[_Object]
-    # Revision of the store that the list reflects.
-    at: int
-    # Whether more objects follow after the last name of this page.
-    more: bool = False
-
-
-class _Event(msgspec.Struct):
-    object: _Object
-    deleted: bool = False
-
-
-class _Events(msgspec.Struct):
-    events: list[_Event]
-    # Revision from which to continue watching.
-    at: int
-
-
 CheckResult = result.Result[None, errors.PlatformUnavailable]
 CreateResult = result.Result[bool, errors.PlatformUnavailable]
 _Reply = result.Result[dialect.HttpReply, errors.PlatformUnavailable]
@@ -127,7 +95,7 @@
                 query["allow_stale"] = "1"
             path = _path(kind, query)
             reply = yield self._call("GET", path, CALL_TIMEOUT_SECONDS)
-            page = reply.bind(functools.partial(_decode, _List, (200,)))
+            page = reply.bind(functools.partial(_decode, store_messages.decode_page))
             if isinstance(page, result.Failure):
                 return page
             listing = page.unwrap()
@@ -144,7 +112,7 @@
         reply = yield self._call("GET", _path(kind, query), timeout)
         if reply.map(_is_gone).value_or(False):
             return result.Failure(mirror.HistoryGone())
-        events = reply.bind(functools.partial(_decode, _Events, (200,)))
+        events = reply.bind(functools.partial(_decode, store_messages.decode_events))
         return events.map(functools.partial(self._decode_changes, kind))
 
     @defer.inlineCallbacks
@@ -171,7 +139,9 @@
             connect_timeout=CONNECT_TIMEOUT_SECONDS,
         )
 
-    def _decode_changes(self, kind: str, message: _Events) -> mirror.Changes:
+    def _decode_changes(
+        self, kind: str, message: store_messages.Events
+    ) -> mirror.Changes:
         # Only the last event of each object counts.
         latest = {event.object.meta.name: event for event in message.events}
         changed = tuple(
@@ -182,7 +152,9 @@
         deleted = tuple(name for name, event in latest.items() if event.deleted)
         return mirror.Changes(changed, deleted, message.at)
 
-    def _decode_item(self, kind: str, stored: _Object) -> mirror.Item:
+    def _decode_item(
+        self, kind: str, stored: store_messages.StoredObject
+    ) -> mirror.Item:
         decode = self._decoders.get(kind)
         content = None if decode is None else decode(stored.meta.name, stored.spec)
         return mirror.Item(stored.meta.name, content)
@@ -249,13 +221,14 @@
 
 
 def _decode(
-    message_type: type, statuses: tuple[int, ...], reply: dialect.HttpReply
+    decode_message: collections.abc.Callable[[bytes], typing.Any],
+    reply: dialect.HttpReply,
 ) -> result.Result[typing.Any, errors.PlatformUnavailable]:
-    if reply.status not in statuses:
+    if reply.status != 200:
         return result.Failure(errors.PlatformUnavailable(f"status {reply.status}"))
     try:
-        return result.Success(msgspec.json.decode(reply.body, type=message_type))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return result.Success(decode_message(reply.body))
+    except errors.DECODE_ERRORS as error:
         return result.Failure(errors.PlatformUnavailable(str(error)))
 
 
