Pass over entries whose address, name or numbers cannot be used

Operators saw: machines that read an entry with a port out of range, a too large number or deep nesting stopped following the list.

Cause: an entry counted as sound whatever its port, address and numbers were. Connecting to port 99999 raises OverflowError, slots of 400 digits do so in the sums of the limits, and RecursionError was not expected. A name with a line break would have added headers to each request. The line that reports an unreadable announcement of an instance failed itself, as each line has a field of that name already, and with it the loop that lists the instances (census_failed).

Change: targets and instances need an IPv4 address, a port from 1 to 65535, numbers up to 2^53 and a printable name; anything else is one log line and names nothing. The stand-in of the store serves contents as they are written to it.

--- a/jackdawpass/platform/decoding.py
+++ b/jackdawpass/platform/decoding.py
@@ -1,10 +1,12 @@
 """Decoders of objects of the platform's store: configuration, targets, instances."""
 
 import collections.abc
+import ipaddress
 import typing
 
 import msgspec
 
+from jackdawpass import errors
 from jackdawpass.process import logs
 from jackdawpass.process.serving import aggregators, instance_registry, targets
 from jackdawpass.version import routes
@@ -15,6 +17,14 @@
 CONFIGURATION_NAME = "main"
 TARGETS_KIND = "servers"
 
+_MAX_PORT = 65_535
+
+# Largest whole number that a float represents exactly, which bounds sums and products.
+_MAX_NUMBER = 2**53
+_Count = typing.Annotated[int, msgspec.Meta(ge=1, le=_MAX_NUMBER)]
+_UnixTime = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
+_Amount = typing.Annotated[float, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
+
 Decoder = collections.abc.Callable[[str, msgspec.Raw], typing.Any]
 
 _READY = "ready"
@@ -76,11 +86,11 @@
     address: str
     zone: str
     state: str
-    slots: int
+    slots: _Count
     # Remaining time for which the target is slow after its start.
-    cold_remaining_ms: float
+    cold_remaining_ms: _Amount
     # Unix time of the target's start, in milliseconds; distinguishes its incarnations.
-    born: int = 0
+    born: _UnixTime = 0
 
 
 class _Instance(msgspec.Struct):
@@ -89,7 +99,7 @@
     zone: str
     host: str
     port: int
-    capacity: float
+    capacity: _Amount
 
 
 def decode_configuration(name: str, content: msgspec.Raw) -> typing.Any:
@@ -98,7 +108,7 @@
         return None
     try:
         document = msgspec.json.decode(content, type=_Configuration)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except errors.DECODE_ERRORS as error:
         _logger.error("configuration_unreadable", reason=str(error))
         return None
     limits = routes.CallerLimits(
@@ -123,21 +133,24 @@
     """Decode a target's entry; return None for a malformed or unusable entry."""
     try:
         entry = msgspec.json.decode(content, type=_Server)
+        if entry.state not in (_READY, _LEAVING):
+            raise ValueError(f"unknown state {entry.state!r}")
+        if not name.isprintable():
+            # Requests carry the name in a header.
+            raise ValueError(f"control characters in the name {name!r}")
         host, _, port = entry.address.rpartition(":")
-        if entry.state not in (_READY, _LEAVING) or not host:
-            raise ValueError(f"state {entry.state!r} at {entry.address!r}")
         return targets.ListedTarget(
             name=name,
             group=entry.service,
-            host=host,
-            port=int(port),
+            host=_check_host(host),
+            port=_check_port(int(port)),
             zone=entry.zone,
             slots=entry.slots,
             leaving=entry.state == _LEAVING,
             started=entry.born,
             cold_seconds=entry.cold_remaining_ms / 1000,
         )
-    except (msgspec.DecodeError, ValueError) as error:
+    except errors.DECODE_ERRORS as error:
         _logger.error("target_entry_unreadable", target=name, reason=str(error))
         return None
 
@@ -146,12 +159,16 @@
     """Decode the entry of a registered instance; return None if it is malformed."""
     try:
         instance = msgspec.json.decode(content, type=_Instance)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        _logger.error("instance_entry_unreadable", instance=name, reason=str(error))
+        return aggregators.Member(
+            name,
+            instance.zone,
+            _check_host(instance.host),
+            _check_port(instance.port),
+            instance.capacity,
+        )
+    except errors.DECODE_ERRORS as error:
+        _logger.error("instance_entry_unreadable", entry=name, reason=str(error))
         return None
-    return aggregators.Member(
-        name, instance.zone, instance.host, instance.port, instance.capacity
-    )
 
 
 DECODERS: collections.abc.Mapping[str, Decoder] = {
@@ -161,6 +178,17 @@
 }
 
 
+def _check_host(host: str) -> str:
+    """Return an IPv4 address; a name would have to be looked up for each connection."""
+    return str(ipaddress.IPv4Address(host))
+
+
+def _check_port(port: int) -> int:
+    if not 0 < port <= _MAX_PORT:
+        raise ValueError(f"port {port} is out of range")
+    return port
+
+
 def _build_route(document: _Route) -> routes.Route:
     shards = tuple(document.fanout or ())
     split: tuple[routes.WeightedGroup, ...] = ()
--- a/jackdawpass/standins/object_store.py
+++ b/jackdawpass/standins/object_store.py
@@ -224,4 +224,13 @@
             self._revision += 1
             for watch in list(self._watches):
                 watch.connection.reset()
+        elif request.path.startswith("/control/spec/"):
+            kind, _, name = request.path.removeprefix("/control/spec/").partition("/")
+            self._put_bytes(kind, name, request.body)
         connection.reply(200, {"calls": self._calls})
+
+    def _put_bytes(self, kind: str, name: str, spec: bytes) -> None:
+        """Write an object whose content is served as it is, also if it is malformed."""
+        stored = {"meta": {"name": name}, "spec": msgspec.Raw(spec)}
+        self._objects_by_kind.setdefault(kind, {})[name] = stored
+        self._record_event(kind, stored, deleted=False)
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -114,6 +114,15 @@
         answer = rig.call("PUT", url, {"meta": {"name": name}, "spec": content})
         assert answer.status == 200
 
+    def put_bytes(self, kind: str, name: str, spec: bytes) -> None:
+        """Write an object whose content may be malformed."""
+        connection = http.client.HTTPConnection("127.0.0.1", self.store.port)
+        try:
+            connection.request("POST", f"/control/spec/{kind}/{name}", spec)
+            assert connection.getresponse().status == 200
+        finally:
+            connection.close()
+
     def inject_faults(self, process: rig.Process, **faults: typing.Any) -> None:
         """Inject faults into the store or a target; other faults are removed."""
         assert rig.call("POST", f"{process.url}/control/faults", faults).status == 200
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -53,6 +53,12 @@
 }
 
 
+NESTED: list[object] = []
+for _ in range(300):
+    NESTED = [NESTED]
+INSTANCE = {"zone": "a", "host": "10.0.0.1", "port": 80, "capacity": 0.7}
+
+
 def raw(content: object) -> msgspec.Raw:
     return msgspec.Raw(msgspec.json.encode(content))
 
@@ -80,7 +86,16 @@
         {"state": 3},
         {"address": "nowhere"},
         {"address": "h:x"},
+        {"address": "10.0.0.1:99999"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:-80"},
+        {"address": "a.host.example:80"},
         {"slots": "two"},
+        {"slots": 0},
+        {"slots": int("9" * 400)},
+        {"cold_remaining_ms": -1},
+        {"born": int("9" * 400)},
+        {"zone": NESTED},
         {"born": "yesterday"},
         {"service": None},
     ],
@@ -90,6 +105,29 @@
     assert decoding.decode_target("i-1", raw(ENTRY | change)) is None
 
 
+@pytest.mark.parametrize("name", ["a\r\nX-Request-Deadline: 1", "a\n", "\x00"])
+def test_entry_whose_name_no_header_can_hold_is_ignored(name: str) -> None:
+    """Guards against headers that another writer adds to all requests."""
+    assert decoding.decode_target(name, raw(ENTRY)) is None
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"port": 0},
+        {"port": 99999},
+        {"host": "a.host.example"},
+        {"capacity": -1},
+        {"capacity": 1e300},
+        {"zone": None},
+    ],
+)
+def test_malformed_instance_is_ignored(change: dict[str, object]) -> None:
+    """Guards against an announced instance to which no request can be sent."""
+    assert decoding.decode_instance("front-1", raw(INSTANCE)) is not None
+    assert decoding.decode_instance("front-1", raw(INSTANCE | change)) is None
+
+
 @pytest.mark.parametrize("name", ["service", "address", "zone", "state", "slots"])
 def test_entry_with_a_missing_field_is_ignored(name: str) -> None:
     """Guards against assuming defaults for missing fields."""
