Expect deeply nested JSON in the replies of targets

Cause: the decoders of the product's own interface expected DecodeError alone. A reply with a value nested 3,000 deep raises RecursionError out of the connection, after the exchange had ended, so that its attempt had no end before its deadline.

Change: they expect all of errors.DECODE_ERRORS; the reply counts as mismatched.

Measured: test_nested_values failed before with RecursionError and passes now.

--- a/jackdawpass/connection/dialect.py
+++ b/jackdawpass/connection/dialect.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns import result
 
+from jackdawpass import errors
 from jackdawpass.request import model
 
 RUN_PATH = "/v1/run"
@@ -177,14 +178,14 @@
         """Return whether a target reports that it accepts work."""
         try:
             health = msgspec.json.decode(reply.body, type=_WireHealth)
-        except msgspec.DecodeError:
+        except errors.DECODE_ERRORS:
             return False
         return reply.status == 200 and health.state == "ready"
 
     def _decode_reply(self, attempt: model.Attempt, body: bytes) -> RunResult:
         try:
             message = self._reply_decoder.decode(body)
-        except msgspec.DecodeError:
+        except errors.DECODE_ERRORS:
             return result.Failure(_MISMATCH)
         if not _ids_match(attempt, message.request_id, message.attempt_id):
             return result.Failure(_MISMATCH)
@@ -200,7 +201,7 @@
     ) -> model.AttemptFailure:
         try:
             message = self._refusal_decoder.decode(body)
-        except msgspec.DecodeError:
+        except errors.DECODE_ERRORS:
             return _MISMATCH
         if not _ids_match(attempt, message.request_id, message.attempt_id):
             return _MISMATCH
--- a/tests/connection/test_dialect_fuzz.py
+++ b/tests/connection/test_dialect_fuzz.py
@@ -65,3 +65,16 @@
     head = b'{"request_id":"r","attempt_id":1,"snapshot":"s1","shards":'
     reply = dialect.HttpReply(200, head + b"[" * 100_000)
     _check(WIRE.decode_run(ATTEMPT, reply))
+
+
+@hypothesis.given(STATUS, st.sampled_from(("value", "unknown")))
+def test_nested_values(status: int, field: str) -> None:
+    """Guards against an attempt without an end after a value that is nested deeply."""
+    nested = "[" * 3000 + "]" * 3000
+    item = '{"id": "a", "score": 1.0, "%s": %s}' % (field, nested)
+    body = (
+        '{"request_id": "r", "attempt_id": 1, "snapshot": "s1", '
+        '"kind": "shed", "x": %s, "shards": {"0": [%s]}}' % (nested, item)
+    ).encode()
+    _check(WIRE.decode_run(ATTEMPT, dialect.HttpReply(status, body)))
+    assert not WIRE.decode_health(dialect.HttpReply(200, body))
