--- a/tests/connection/test_dialect_fuzz.py
+++ b/tests/connection/test_dialect_fuzz.py
@@ -67,14 +67,12 @@
     _check(WIRE.decode_run(ATTEMPT, reply))
 
 
-@hypothesis.given(STATUS, st.sampled_from(("value", "unknown")))
-def test_nested_values(status: int, field: str) -> None:
+@hypothesis.given(STATUS, st.sampled_from((b"value", b"unknown")))
+def test_nested_values(status: int, field: bytes) -> None:
     """Guards against an attempt without an end after a value that is nested deeply."""
-    nested = "[" * 3000 + "]" * 3000
-    item = '{"id": "a", "score": 1.0, "%s": %s}' % (field, nested)
-    body = (
-        '{"request_id": "r", "attempt_id": 1, "snapshot": "s1", '
-        '"kind": "shed", "x": %s, "shards": {"0": [%s]}}' % (nested, item)
-    ).encode()
+    nested = b"[" * 3000 + b"]" * 3000
+    item = b'{"id": "a", "score": 1.0, "' + field + b'": ' + nested + b"}"
+    head = b'{"request_id": "r", "attempt_id": 1, "snapshot": "s1", "kind": "shed"'
+    body = head + b', "x": ' + nested + b', "shards": {"0": [' + item + b"]}}"
     _check(WIRE.decode_run(ATTEMPT, dialect.HttpReply(status, body)))
     assert not WIRE.decode_health(dialect.HttpReply(200, body))
