Send answers to their end before a stopping instance exits

Cause: a connection was idle as soon as its answer was handed to the transport. The log shows that the instance ended by its own decision, with the connections still open; it stopped the reactor 0.05 s after closing them, which drops what the transport still holds.

Change: a connection is busy while its transport asks for a pause, and from close until it is lost. The connections of other instances are closed in a step of their own and awaited like those of callers. The end of the grace bounds all of it.

--- a/jackdawpass/connection/ingress.py
+++ b/jackdawpass/connection/ingress.py
@@ -155,8 +155,15 @@
 
     @property
     def idle(self) -> bool:
-        """True when no request is being received or served."""
-        return not (self._serving or self._pending or self._receiving)
+        """True when no request is being received or served and no response sent."""
+        return not (
+            self._serving
+            or self._pending
+            or self._receiving
+            # A closed connection is removed once its last response is sent.
+            or self._write_paused
+            or self._closed
+        )
 
     def connectionMade(self) -> None:
         """Wait for the first request."""
--- a/jackdawpass/process/serving/front.py
+++ b/jackdawpass/process/serving/front.py
@@ -335,6 +335,9 @@
         elif step is not shutdown.Step.SERVE:
             for connection in idle:
                 connection.close()
+        if step is shutdown.Step.CLOSE_ALL:
+            for connection in [*connections, *self._peers.connections]:
+                connection.close()
         if step is shutdown.Step.STOP_LISTENING and self._callers_port is not None:
             port, self._callers_port = self._callers_port, None
             self._ports.remove(port)
--- a/jackdawpass/process/serving/shutdown.py
+++ b/jackdawpass/process/serving/shutdown.py
@@ -22,6 +22,7 @@
     SERVE = "serve"
     CLOSE_IDLE = "close_idle"
     STOP_LISTENING = "stop_listening"
+    CLOSE_ALL = "close_all"
     EXIT = "exit"
 
 
@@ -38,6 +39,7 @@
         self._limit = limit
         self._begun_at: float | None = None
         self._listened_until: float | None = None
+        self._closes_all = False
 
     def change_limit(self, limit: float) -> None:
         """Apply a changed limit."""
@@ -56,8 +58,9 @@
     def next_step(self, now: float, busy: int) -> Step:
         """Return the next step.
 
-        `busy` is the number of connections with a request, or opened recently. Idle
-        connections are closed at each step after `SERVE`.
+        `busy` is the number of connections with a request or an unsent response, or
+        opened recently. Idle connections of callers are closed at each step after
+        `SERVE`, those of other instances at `CLOSE_ALL`.
         """
         if self._begun_at is None:
             return Step.SERVE
@@ -72,6 +75,9 @@
             self._listened_until = now
         if busy or now < self._listened_until + RECENT_SECONDS:
             return Step.STOP_LISTENING
+        if not self._closes_all:
+            self._closes_all = True
+            return Step.CLOSE_ALL
         return Step.EXIT
 
 
--- a/tests/connection/test_ingress.py
+++ b/tests/connection/test_ingress.py
@@ -132,6 +132,21 @@
     assert caller.handler.served[0].request.body == b"ab" * (payload_bytes // 2)
 
 
+def test_connection_is_busy_until_its_response_is_sent(caller: Caller) -> None:
+    """Guards against an exit while a caller still reads its answer."""
+    caller.send(GET)
+    assert not caller.connection.idle
+    caller.answer(0)
+    assert caller.connection.idle
+    caller.connection.pauseProducing()
+    assert not caller.connection.idle
+    caller.connection.resumeProducing()
+    assert caller.connection.idle
+    # The transport sends what it holds before the connection is lost.
+    caller.connection.close()
+    assert not caller.connection.idle
+
+
 def test_pipelined_requests_are_answered_in_order(caller: Caller) -> None:
     """Guards against a response that reaches another request."""
     caller.send(GET + GET.replace(b"/a", b"/b"))
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -75,9 +75,11 @@
         self.targets: dict[str, rig.Process] = {}
         self._entries: dict[str, dict[str, typing.Any]] = {}
 
-    def add_target(self, name: str, group: str, zone: str = "a") -> None:
+    def add_target(
+        self, name: str, group: str, zone: str = "a", **behaviour: typing.Any
+    ) -> None:
         """Start a target and write its entry."""
-        options = json.dumps({"name": name, "group": group})
+        options = json.dumps({"name": name, "group": group} | behaviour)
         target = self._processes.start(
             "stand-in", "listed-target", "--options", options
         )
--- a/tests/process/serving/test_shutdown.py
+++ b/tests/process/serving/test_shutdown.py
@@ -32,7 +32,10 @@
     assert steps.next_step(after, 0) is shutdown.Step.STOP_LISTENING
     ended = after + shutdown.RECENT_SECONDS
     assert steps.next_step(ended, 1) is shutdown.Step.STOP_LISTENING
-    assert steps.next_step(ended, 0) is shutdown.Step.EXIT
+    assert steps.next_step(ended, 0) is shutdown.Step.CLOSE_ALL
+    # Responses that are still being sent when their connections are closed.
+    assert steps.next_step(ended + 1, 2) is shutdown.Step.STOP_LISTENING
+    assert steps.next_step(ended + 1, 0) is shutdown.Step.EXIT
 
 
 def test_last_accepted_callers_are_answered_before_the_exit() -> None:
