Take no request that is likely to outlast a planned stop

Callers saw: in a planned stop in calm, requests that came late in the grace were passed on and cut at its end without an answer, also such as must run only once.

Cause: a stopping instance took every request, whatever it was likely to take, and closed what was open 0.4 s before the kill.

Change: a request is taken if the 95th percentile of its route's recent requests, at least the latency objective and at most the deadline, fits in the time left. Any other is refused at once as not run, with a short delay, as a new connection leads to another instance. A forwarding instance tells the aggregator, which knows the route, when it stops; a stopping aggregator declines. What is open 0.6 s before the kill gets its final answer as at its deadline.

--- a/jackdawpass/connection/ingress.py
+++ b/jackdawpass/connection/ingress.py
@@ -6,7 +6,7 @@
 import typing
 
 import httptools
-from twisted.internet import error, protocol
+from twisted.internet import protocol
 from twisted.python import failure
 
 from jackdawpass import clock
@@ -41,9 +41,6 @@
     504: "Gateway Timeout",
 }
 
-# Backlog of connections to accept; a full backlog delays new callers by seconds.
-MAX_WAITING_CONNECTIONS = 512
-
 INTERIM_RESPONSE = b"HTTP/1.1 102 Processing\r\n\r\n"
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -86,6 +83,9 @@
     def caller_gone(self) -> None:
         """Stop the work for a caller that has disconnected."""
 
+    def expire(self) -> None:
+        """Answer at once, as at the deadline."""
+
 
 class FinishedExchange:
     """A request that was answered immediately."""
@@ -93,6 +93,9 @@
     def caller_gone(self) -> None:
         """Do nothing."""
 
+    def expire(self) -> None:
+        """Do nothing."""
+
 
 OnResponse = collections.abc.Callable[[OutgoingResponse], None]
 
@@ -220,6 +223,11 @@
             current.caller_gone()
         self._handler.on_closed(self)
 
+    def expire(self) -> None:
+        """Answer the current request at once, as at its deadline."""
+        if self._current is not None:
+            self._current.expire()
+
     def close(self) -> None:
         """Close the connection once the buffered data is sent."""
         if not self._closed:
@@ -366,24 +374,6 @@
         return CallerConnection(self._reactor, self._handler)
 
 
-def stop_listening(port: typing.Any) -> None:
-    """Accept all connections that wait at a port, then close it at once.
-
-    `stopListening` closes the port an iteration of the event loop later; the kernel
-    would reset the connections that were established meanwhile.
-
-    Parameters
-    ----------
-    port : tcp.Port
-        The listening port.
-    """
-    port.stopReading()
-    # Ends at the first accept that would block.
-    port.numberAccepts = MAX_WAITING_CONNECTIONS
-    port.doRead()
-    port.connectionLost(failure.Failure(error.ConnectionDone()))
-
-
 def encode_response(response: OutgoingResponse, is_last: bool) -> bytes:
     """Encode a response; `is_last` says that the connection closes after it."""
     reason = REASONS.get(response.status, "Status")
--- a/jackdawpass/process/latencies.py
+++ b/jackdawpass/process/latencies.py
@@ -54,6 +54,11 @@
         """True while the recent median is well above the long-term latency."""
         return self._slow
 
+    @property
+    def count(self) -> int:
+        """Number of samples."""
+        return len(self._window)
+
     @property
     def ready(self) -> bool:
         """True once there are enough samples for percentiles."""
--- a/jackdawpass/process/serving/caller_requests.py
+++ b/jackdawpass/process/serving/caller_requests.py
@@ -27,6 +27,8 @@
         Seconds since the request reached the first instance.
     is_repeat : bool
         True if another instance may already be serving the request.
+    stops_in : float or None
+        Seconds until the instance that answers the caller stops; None if it does not.
     """
 
     request_id: str
@@ -36,3 +38,4 @@
     encoded: bytes
     age: float = 0.0
     is_repeat: bool = False
+    stops_in: float | None = None
--- a/jackdawpass/process/serving/forwarded_request.py
+++ b/jackdawpass/process/serving/forwarded_request.py
@@ -118,6 +118,13 @@
             self._local_exchange.caller_gone()
         self._end()
 
+    def expire(self) -> None:
+        """Answer at once, as at the deadline."""
+        if self._local_exchange is not None:
+            self._local_exchange.expire()
+        else:
+            self._on_deadline()
+
     def on_aggregator_silent(self, link: aggregator_link.AggregatorLink) -> None:
         """Try another aggregator; keep an exchange that may still be answered."""
         if self._pending is link:
--- a/jackdawpass/process/serving/front.py
+++ b/jackdawpass/process/serving/front.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer, error, task
 
 from jackdawpass import clock
-from jackdawpass.connection import ingress, reply_limits
+from jackdawpass.connection import ingress, listening, reply_limits
 from jackdawpass.process import logs
 from jackdawpass.process.serving import (
     aggregators,
@@ -157,6 +157,10 @@
         """Deferred that fires when the instance has stopped."""
         return self._stopped
 
+    def seconds_left(self, now: float) -> float | None:
+        """Return the seconds until all requests must end; None unless stopping."""
+        return self._shutdown.seconds_left(now)
+
     def start(self) -> None:
         """Listen, register the instance, and start the periodic tick."""
         options = self._options
@@ -335,13 +339,16 @@
         elif step is not shutdown.Step.SERVE:
             for connection in idle:
                 connection.close()
+        if step is shutdown.Step.EXPIRE:
+            for connection in list(connections):
+                connection.expire()
         if step is shutdown.Step.CLOSE_ALL:
             for connection in [*connections, *self._peers.connections]:
                 connection.close()
         if step is shutdown.Step.STOP_LISTENING and self._callers_port is not None:
             port, self._callers_port = self._callers_port, None
             self._ports.remove(port)
-            ingress.stop_listening(port)
+            listening.stop_listening(port)
 
     def _exit(self) -> None:
         self._ticker.stop()
@@ -360,7 +367,7 @@
     ) -> typing.Any:
         factory = ingress.CallerFactory(self._reactor, handler)
         port = self._reactor.listenTCP(
-            address.port, factory, ingress.MAX_WAITING_CONNECTIONS, address.host
+            address.port, factory, listening.MAX_WAITING_CONNECTIONS, address.host
         )
         self._ports.append(port)
         return port
--- a/jackdawpass/process/serving/gateway.py
+++ b/jackdawpass/process/serving/gateway.py
@@ -13,13 +13,16 @@
 from jackdawpass.process.serving import (
     aggregators,
     caller_requests,
+    durations,
     feedback,
     forwarded_repeats,
     group_router,
     immediate_refusals,
     peer_wire,
     peers,
+    plans,
     prometheus_metrics,
+    refusal_policy,
     repeats,
     request_log,
     sender,
@@ -41,9 +44,6 @@
 # Instances assumed to share a target while their number is unknown. A high value is
 # safe: it only lowers this instance's share of connections and repeats.
 ASSUMED_INSTANCES = 64
-# The last answer leaves this long before the caller's deadline, to arrive in time.
-ANSWER_MARGIN_SECONDS = 0.010
-MIN_DEADLINE_SECONDS = 0.001
 # Concurrent subqueries from this instance to one instance of another zone.
 PEER_CONNECTIONS = 16
 
@@ -99,6 +99,10 @@
             metrics,
             self._throttles,
         )
+        self._durations = durations.RequestDurations()
+        self._refusals = refusal_policy.RefusalPolicy(
+            self._targets, self._throttles, self._durations
+        )
         self._sender = sender.Sender(reactor, wire, self._feedback, memory=memory)
         self._subquery_sender = sender.Sender(
             reactor, subquery_wire, self._feedback, linger_seconds=0.0, memory=memory
@@ -123,6 +127,7 @@
         names = {route.name for route in table.routes}
         self._feedback.apply_routes(table.routes)
         self._throttles.apply_routes(table.routes)
+        self._durations.apply_routes(table.routes)
         self._budgets.keep(set(table.groups))
         self._metrics.keep(names, table.groups.keys())
         self._metrics.set("configuration_version", table.version)
@@ -186,9 +191,7 @@
             return _refuse(immediate_refusals.NO_ROUTE, observer, on_outcome)
         observer.routed(route.name, self._table.version)
         groups = route.shards or (route.pick_group(self._random.random()),)
-        if self._isolated and self._lacks_local_coverage(now, route, groups):
-            return _refuse(immediate_refusals.ISOLATED, observer, on_outcome)
-        refusal = self._throttles.refusal(now, route, request.timeout)
+        refusal = self._refusals.refusal(now, request, route, groups, self._isolated)
         if refusal is not None:
             self._metrics.finished(route.name, 0.0, refusal)
             return _refuse(refusal, observer, on_outcome)
@@ -196,6 +199,7 @@
         def finish(outcome: caller_requests.Outcome) -> None:
             finished_at = clock.monotonic()
             observer.finished(outcome)
+            self._durations.add(finished_at, route, finished_at - now)
             is_late = finished_at - now + request.age > route.latency_objective
             is_full = is_late and self._targets.has_full(finished_at, groups)
             self._throttles.on_outcome(finished_at, route, outcome, is_late, is_full)
@@ -205,6 +209,17 @@
         state_machine = self._make_machine(now, request, route, groups)
         return self._run(request, state_machine, finish, observer)
 
+    def finishes_within(
+        self, request: caller_requests.CallerRequest, seconds: float | None
+    ) -> bool:
+        """Return whether a request is likely to end within some seconds.
+
+        None stands for an unlimited time.
+        """
+        table = self._table
+        route = None if table is None else table.match(request.host, request.path)
+        return route is None or self._refusals.finishes_within(request, route, seconds)
+
     def review_repeat(
         self, request: caller_requests.CallerRequest
     ) -> forwarded_repeats.Review:
@@ -243,7 +258,7 @@
             on_outcome(outcome)
 
         plan = dataclasses.replace(
-            self._make_plan(now, request, route, len(route.shards)),
+            plans.make_plan(now, request, route, len(route.shards), table.version),
             shards=subquery.shards,
             min_coverage=0.0,
             early_after=now + subquery.answer_within,
@@ -272,14 +287,6 @@
         request_runner.start()
         return request_runner
 
-    def _lacks_local_coverage(
-        self, now: float, route: routes.Route, groups: tuple[str, ...]
-    ) -> bool:
-        """Return whether targets of this zone alone miss the route's min_coverage."""
-        reachable = sum(self._targets.has_local(now, group) for group in groups)
-        needed = max(route.min_coverage * len(groups), 1)
-        return reachable < needed
-
     def close(self) -> None:
         """Close connections as they become idle."""
         self._sender.close()
@@ -292,7 +299,9 @@
         route: routes.Route,
         groups: tuple[str, ...],
     ) -> machine.Machine:
-        plan = self._make_plan(now, request, route, len(groups))
+        assert self._table is not None
+        version = self._table.version
+        plan = plans.make_plan(now, request, route, len(groups), version)
         if route.idempotent:
             allow_hop = route.shards and peers.allows_extra_hop(route.latency_objective)
             # The instances asked by a subquery would count the shards of a repeat as
@@ -348,30 +357,6 @@
     def _make_budget(self) -> timing.RequestBudget:
         return timing.RequestBudget(self._budgets, self._instances, self._group_of)
 
-    def _make_plan(
-        self,
-        now: float,
-        request: caller_requests.CallerRequest,
-        route: routes.Route,
-        shards: int,
-    ) -> model.QueryPlan:
-        timeout = min(request.timeout, route.timeout)
-        assert self._table is not None
-        early = timing.answer_by(now, request.age, route) if route.shards else None
-        return model.QueryPlan(
-            request_id=request.request_id,
-            service=route.name,
-            snapshot=route.shard_set if route.shards else str(self._table.version),
-            shards=frozenset(range(shards)),
-            deadline=now + max(MIN_DEADLINE_SECONDS, timeout - ANSWER_MARGIN_SECONDS),
-            limit=route.limit,
-            min_coverage=route.min_coverage,
-            early_after=early,
-            early_coverage=route.min_coverage,
-            max_attempts=route.max_attempts,
-            hedge_from_start=True,
-        )
-
     def _group_of(self, target: str) -> str:
         state = self._targets.states.get(target)
         return "" if state is None else state.listed.group
--- a/jackdawpass/process/serving/handlers.py
+++ b/jackdawpass/process/serving/handlers.py
@@ -1,6 +1,7 @@
 """Handler of callers' requests."""
 
 import collections.abc
+import dataclasses
 import typing
 
 from returns import result
@@ -75,6 +76,9 @@
     def stale(self) -> bool:
         """True while the platform's store does not respond."""
 
+    def seconds_left(self, now: float) -> float | None:
+        """Return the seconds until all requests must end; None unless stopping."""
+
     def follow_targets(self) -> None:
         """Follow configuration and targets for a limited time from now."""
 
@@ -102,6 +106,14 @@
         if self._exchange is not None:
             self._exchange.caller_gone()
 
+    def expire(self) -> None:
+        """Serve the request at once, whether the condition holds or not."""
+        if self._exchange is None and not self._gone:
+            self._gone = True
+            self._exchange = self._serve()
+        if self._exchange is not None:
+            self._exchange.expire()
+
     def _step(self) -> None:
         if self._gone:
             return
@@ -194,6 +206,7 @@
         def encode(timeout: float, version: int, is_repeat: bool) -> bytes:
             age = request.timeout - timeout + HOP_SECONDS
             extra = peer_wire.encode_forwarding_headers(age, version, is_repeat)
+            extra += peer_wire.encode_stops_in(self._seconds_left())
             return self._wire.encode_forwarded(request.encoded, timeout, extra)
 
         timeout = max(0.0, deadline - clock.monotonic())
@@ -218,7 +231,13 @@
         def on_outcome(outcome: caller_requests.Outcome) -> None:
             on_response(self._wire.encode_outcome(outcome))
 
-        return self._gateway.serve(request, on_outcome)
+        stops_in = self._seconds_left()
+        return self._gateway.serve(
+            dataclasses.replace(request, stops_in=stops_in), on_outcome
+        )
+
+    def _seconds_left(self) -> float | None:
+        return self._instance.seconds_left(clock.monotonic())
 
     def _wait(
         self,
--- a/jackdawpass/process/serving/immediate_refusals.py
+++ b/jackdawpass/process/serving/immediate_refusals.py
@@ -6,6 +6,8 @@
 
 # A target works off a full queue of short requests in about this time.
 RETRY_AFTER_SECONDS = 0.1
+# Callers return on a new connection, which leads to an instance that keeps running.
+STOPPING_RETRY_SECONDS = 0.01
 # The load balancer takes an isolated instance out of rotation within this time.
 ISOLATED_RETRY_SECONDS = 1.0
 
@@ -20,6 +22,11 @@
     "retry at another one",
     ISOLATED_RETRY_SECONDS,
 )
+STOPPING = problems.not_run(
+    problems.ProblemKind.OVERLOADED,
+    "this instance stops before the request is likely to end; retry at another one",
+    STOPPING_RETRY_SECONDS,
+)
 NO_ROUTE = problems.not_run(
     problems.ProblemKind.UNKNOWN_SERVICE,
     "no route matches the host and path; check them against the configuration",
--- a/jackdawpass/process/serving/peer_handler.py
+++ b/jackdawpass/process/serving/peer_handler.py
@@ -4,6 +4,7 @@
 
 from returns import result
 
+from jackdawpass import clock
 from jackdawpass.connection import ingress
 from jackdawpass.process.serving import (
     caller_requests,
@@ -92,7 +93,11 @@
             decoded.unwrap(),
             age=peer_wire.decode_age(request),
             is_repeat=peer_wire.is_repeat(request),
+            stops_in=peer_wire.decode_stops_in(request),
         )
+        own_stop = self._instance.seconds_left(clock.monotonic())
+        if not self._gateway.finishes_within(caller_request, own_stop):
+            return self._decline(on_response)
         if caller_request.is_repeat:
             review = self._gateway.review_repeat(caller_request)
             if not review.accepted:
--- a/jackdawpass/process/serving/peer_wire.py
+++ b/jackdawpass/process/serving/peer_wire.py
@@ -21,6 +21,8 @@
 RUNS_ONCE_WITHIN_MS = b"jackdawpass-runs-once-within-ms"
 # Milliseconds since the request reached the forwarding instance.
 AGE_MS = b"jackdawpass-age-ms"
+# Milliseconds until the forwarding instance stops.
+STOPS_IN_MS = b"jackdawpass-stops-in-ms"
 # In a request the wanted shards of its route; in a reply the covered shards, each with
 # the signature of its target.
 SHARDS = b"jackdawpass-shards"
@@ -36,6 +38,7 @@
         REPEAT,
         RUNS_ONCE_WITHIN_MS,
         AGE_MS,
+        STOPS_IN_MS,
         SHARDS,
         SHARD_SET,
         ANSWER_WITHIN_MS,
@@ -97,6 +100,19 @@
     return (*headers, (REPEAT, b"1")) if is_repeat else headers
 
 
+def encode_stops_in(seconds: float | None) -> ingress.Headers:
+    """Return the headers that say when the forwarding instance stops, if it does."""
+    if seconds is None:
+        return ()
+    return ((STOPS_IN_MS, b"%d" % max(0, round(seconds * 1000))),)
+
+
+def decode_stops_in(request: ingress.IncomingRequest) -> float | None:
+    """Return the seconds until the forwarding instance stops; None if it does not."""
+    value = request.header(STOPS_IN_MS) or b""
+    return int(value) / 1000 if value.isdigit() else None
+
+
 def is_repeat(request: ingress.IncomingRequest) -> bool:
     """Return whether another aggregator may already be serving a request."""
     return request.header(REPEAT) is not None
--- a/jackdawpass/process/serving/shutdown.py
+++ b/jackdawpass/process/serving/shutdown.py
@@ -6,8 +6,11 @@
 TICK_SECONDS = 0.1
 # The load balancer probes once a second and removes an instance after two failures.
 BALANCER_REMOVAL_SECONDS = 2.6
-# The process exits this long before it would be killed, even with open requests.
-EXIT_MARGIN_SECONDS = 0.4
+# Open requests are answered this long before the process would be killed, as at their
+# deadlines.
+EXPIRY_MARGIN_SECONDS = 0.6
+# The process exits this long before it would be killed, even with open connections.
+EXIT_MARGIN_SECONDS = 0.3
 # It stops listening this long before it would be killed, so that the last callers can
 # be answered.
 LISTEN_MARGIN_SECONDS = 1.5
@@ -23,6 +26,7 @@
     CLOSE_IDLE = "close_idle"
     STOP_LISTENING = "stop_listening"
     CLOSE_ALL = "close_all"
+    EXPIRE = "expire"
     EXIT = "exit"
 
 
@@ -40,6 +44,7 @@
         self._begun_at: float | None = None
         self._listened_until: float | None = None
         self._closes_all = False
+        self._expired = False
 
     def change_limit(self, limit: float) -> None:
         """Apply a changed limit."""
@@ -55,6 +60,12 @@
         if self._begun_at is None:
             self._begun_at = now
 
+    def seconds_left(self, now: float) -> float | None:
+        """Return the seconds until all requests must end; None before the shutdown."""
+        if self._begun_at is None:
+            return None
+        return max(0.0, self._begun_at + self._limit - EXPIRY_MARGIN_SECONDS - now)
+
     def next_step(self, now: float, busy: int) -> Step:
         """Return the next step.
 
@@ -67,6 +78,9 @@
         age = now - self._begun_at
         if age >= self._limit - EXIT_MARGIN_SECONDS:
             return Step.EXIT
+        if age >= self._limit - EXPIRY_MARGIN_SECONDS and not self._expired:
+            self._expired = True
+            return Step.EXPIRE
         if age < BALANCER_REMOVAL_SECONDS:
             return Step.SERVE
         if self._listened_until is None:
--- a/jackdawpass/request/runner.py
+++ b/jackdawpass/request/runner.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import math
 import typing
 
 from jackdawpass import clock
@@ -93,6 +94,11 @@
         if not self._active_attempts and self._on_finish is not None:
             self._trace.abandoned()
 
+    def expire(self) -> None:
+        """Finish the request at once, as at its deadline."""
+        self._trace.timer()
+        self._perform(self._state_machine.on_timer(math.inf))
+
     def on_sent(self, attempt_id: int) -> None:
         """Inform the state machine that a target may have read an attempt."""
         self._trace.sent(attempt_id)
--- a/tests/connection/test_ingress.py
+++ b/tests/connection/test_ingress.py
@@ -26,6 +26,9 @@
     def caller_gone(self) -> None:
         self.gone = True
 
+    def expire(self) -> None:
+        self.answer(ingress.OutgoingResponse(504, (), b""))
+
 
 class Handler:
     """Handler that records requests."""
@@ -147,6 +150,15 @@
     assert not caller.connection.idle
 
 
+def test_request_that_expires_is_answered(caller: Caller) -> None:
+    """Guards against a stop that closes a connection in the place of an answer."""
+    caller.connection.expire()
+    caller.send(GET)
+    caller.handler.closing = True
+    caller.connection.expire()
+    assert caller.status == b"504" and caller.transport.disconnecting
+
+
 def test_pipelined_requests_are_answered_in_order(caller: Caller) -> None:
     """Guards against a response that reaches another request."""
     caller.send(GET + GET.replace(b"/a", b"/b"))
--- /dev/null
+++ b/tests/platform/load.py
@@ -0,0 +1,88 @@
+"""Callers on kept and new connections while a front stops."""
+
+import concurrent.futures
+import http.client
+import signal
+import threading
+import time
+
+from tests.platform import site
+
+
+class Load:
+    """Callers on kept and new connections before and during a stop."""
+
+    KEPT_CONNECTIONS = 16
+    NEW_PER_SECOND = 6
+
+    def __init__(self, front: site.Front, path: str) -> None:
+        self.statuses: dict[str, int | None] = {}
+        self._front = front
+        self._path = path
+        self._ended = threading.Event()
+
+    def run(self, seconds_before: float) -> None:
+        """Send requests for some seconds, stop the front, go on until it is gone."""
+        workers = self.KEPT_CONNECTIONS + 8 * self.NEW_PER_SECOND
+        with concurrent.futures.ThreadPoolExecutor(workers) as executor:
+            for number in range(self.KEPT_CONNECTIONS):
+                executor.submit(self._keep, number)
+            executor.submit(self._open, executor)
+            time.sleep(seconds_before)
+            self._front.process.signal(signal.SIGTERM)
+            assert self._front.process.wait() == 0
+            self._ended.set()
+
+    def _keep(self, number: int) -> None:
+        connection = http.client.HTTPConnection("127.0.0.1", self._front.port)
+        count = 0
+        while not self._ended.is_set():
+            count += 1
+            if not self._send(connection, f"kept-{number}-{count}"):
+                return
+            time.sleep(0.05)
+
+    def _open(self, executor: concurrent.futures.Executor) -> None:
+        count = 0
+        while not self._ended.wait(1 / self.NEW_PER_SECOND):
+            count += 1
+            connection = http.client.HTTPConnection("127.0.0.1", self._front.port)
+            executor.submit(self._send, connection, f"new-{count}")
+
+    def _send(self, connection: http.client.HTTPConnection, request_id: str) -> bool:
+        """Send a request; return whether its connection may carry the next one."""
+        fields = {
+            "Host": site.HOST,
+            "X-Attempt-Id": request_id,
+            "X-Request-Deadline": "8000",
+        }
+        try:
+            connection.request("POST", self._path, b"x", fields)
+            response = connection.getresponse()
+            response.read()
+        except OSError:
+            self.statuses[request_id] = None
+            return False
+        except http.client.HTTPException:
+            self.statuses[request_id] = None
+            return False
+        self.statuses[request_id] = response.status
+        return not response.will_close
+
+    def check(self, deployment: site.Site) -> None:
+        """Check that each request was answered, refused unrun, or not passed on."""
+        runs = [
+            run["request_id"]
+            for name in deployment.targets
+            for run in deployment.runs(name)
+        ]
+        assert len(runs) == len(set(runs))
+        outcomes = {
+            status: {name for name, each in self.statuses.items() if each == status}
+            for status in (200, 503, None)
+        }
+        # A request that crosses the close of its connection is not passed on.
+        assert not outcomes[None] & set(runs)
+        assert not outcomes[503] & set(runs)
+        assert set(self.statuses.values()) <= {200, 503, None}
+        assert len(outcomes[200]) >= self.KEPT_CONNECTIONS
--- a/tests/platform/test_stop_process.py
+++ b/tests/platform/test_stop_process.py
@@ -5,8 +5,10 @@
 import socket
 import time
 
+import pytest
+
 from tests import rig
-from tests.platform import site
+from tests.platform import load, site
 
 GRACE_SECONDS = 6.0
 # More than the kernel buffers of a connection, so that the process holds a part.
@@ -50,3 +52,19 @@
     assert received > RECORDS * RECORD_BYTES
     assert front.process.wait() == 0
     assert time.monotonic() - stopped_at < GRACE_SECONDS
+
+
+@pytest.mark.parametrize("work_ms", [400, 2500, 4000])
+def test_late_requests_are_answered_or_refused_unrun(
+    processes: rig.Rig, tmp_path: pathlib.Path, work_ms: int
+) -> None:
+    """Guards against requests that are taken late in the grace and then cut off."""
+    deployment = site.Site(processes, tmp_path)
+    for number in range(10):
+        deployment.add_target(f"t{number}", "s0", work_ms=work_ms)
+    reserve = site.route("reserve", service="s0", type="non_idempotent")
+    reserve["timeout_ms"] = 8000
+    deployment.configure(1, [reserve])
+    callers = load.Load(deployment.add_front(), "/reserve/x")
+    callers.run(seconds_before=work_ms / 1000 + 2.0)
+    callers.check(deployment)
--- a/tests/platform/test_tier_process.py
+++ b/tests/platform/test_tier_process.py
@@ -15,7 +15,7 @@
 
 from jackdawpass.process.serving import aggregators, instance_registry
 from tests import rig
-from tests.platform import site
+from tests.platform import load, site
 
 ROUTES = [
     site.route("lookup", service="s0"),
@@ -243,6 +243,17 @@
         assert [reply.result().status for reply in replies] == [200] * 4
 
 
+def test_late_requests_at_a_stopping_forwarder_are_refused_unrun(zone: Zone) -> None:
+    """Guards against work at an aggregator whose answer nobody is left to pass on."""
+    for name in ("s0-c", "s0-d", "s0-e"):
+        zone.deployment.add_target(name, "s0")
+    for name in zone.deployment.targets:
+        zone.deployment.inject_faults(zone.deployment.targets[name], slow_ms=2500)
+    callers = load.Load(zone.forwarders[0], "/report/x")
+    callers.run(seconds_before=4.0)
+    callers.check(zone.deployment)
+
+
 def test_answers_never_return_to_an_older_version(zone: Zone) -> None:
     """Guards against returning to an older version because aggregators differ."""
     forwarder = zone.forwarders[0]
--- a/tests/process/serving/test_forwarding.py
+++ b/tests/process/serving/test_forwarding.py
@@ -97,6 +97,9 @@
     def caller_gone(self) -> None:
         pass
 
+    def expire(self) -> None:
+        pass
+
 
 @pytest.fixture
 def ready_harness(monkeypatch: pytest.MonkeyPatch) -> Harness:
--- a/tests/process/serving/test_handlers.py
+++ b/tests/process/serving/test_handlers.py
@@ -31,10 +31,14 @@
 
     def __init__(self) -> None:
         self.follow_calls = 0
+        self.stops_in: float | None = None
 
     def follow_targets(self) -> None:
         self.follow_calls += 1
 
+    def seconds_left(self, now: float) -> float | None:
+        return self.stops_in
+
 
 class FakeDialect:
     """Dialect that encodes every outcome as an empty answer."""
@@ -63,6 +67,12 @@
         self.served: list[caller_requests.CallerRequest] = []
         self.subqueries: list[peer_wire.Subquery] = []
         self.review = forwarded_repeats.Review(True)
+        self.likely_seconds = 0.1
+
+    def finishes_within(
+        self, request: caller_requests.CallerRequest, seconds: float | None
+    ) -> bool:
+        return seconds is None or self.likely_seconds <= seconds
 
     def serve(
         self, request: caller_requests.CallerRequest, on_outcome: typing.Any
@@ -154,6 +164,27 @@
     assert not peer.gateway.served
 
 
+def test_stopping_instance_declines_what_it_cannot_finish(peer: PeerHarness) -> None:
+    """Guards against a forwarded request that the end of the aggregator cuts off."""
+    peer.instance.stops_in = 1.0
+    assert is_accepted(peer.send())
+    peer.gateway.likely_seconds = 2.5
+    assert not is_accepted(peer.send())
+
+
+def test_stop_of_the_forwarding_instance_reaches_the_gateway(
+    peer: PeerHarness,
+) -> None:
+    """Guards against a request that outlasts the instance that answers its caller."""
+    headers = dict(peer_wire.encode_stops_in(1.25))
+    assert headers == {peer_wire.STOPS_IN_MS: b"1250"}
+    peer.send(jackdawpass_stops_in_ms="1250")
+    peer.send(jackdawpass_stops_in_ms="soon")
+    peer.send()
+    assert [each.stops_in for each in peer.gateway.served] == [1.25, None, None]
+    assert peer_wire.encode_stops_in(None) == ()
+
+
 def test_unsynced_instance_declines_and_follows_targets(
     peer: PeerHarness,
 ) -> None:
--- a/tests/process/serving/test_shutdown.py
+++ b/tests/process/serving/test_shutdown.py
@@ -54,6 +54,17 @@
     assert begin_shutdown().next_step(late, 9) is shutdown.Step.STOP_LISTENING
 
 
+def test_open_requests_are_answered_before_the_kill() -> None:
+    """Guards against a request that gets a closed connection for an answer."""
+    steps = begin_shutdown()
+    assert steps.seconds_left(11.0) == LIMIT - shutdown.EXPIRY_MARGIN_SECONDS - 1.0
+    ends_at = 10.0 + LIMIT - shutdown.EXPIRY_MARGIN_SECONDS
+    assert steps.next_step(ends_at, 3) is shutdown.Step.EXPIRE
+    assert steps.next_step(ends_at + 0.1, 3) is shutdown.Step.STOP_LISTENING
+    assert steps.seconds_left(ends_at + 0.1) == 0.0
+    assert shutdown.Shutdown(LIMIT).seconds_left(11.0) is None
+
+
 def test_process_ends_before_the_kill() -> None:
     """Guards against a kill while an answer is being sent."""
     assert begin_shutdown().next_step(10.0 + LIMIT - 0.1, 5) is shutdown.Step.EXIT
