Watch from the first page of a list

Cause: a list in pages took the revision of its last page for all. What changed in an earlier page while the later ones were read is in neither the list nor the watch from that revision.

Change: the list takes the revision of its oldest page. The watch then repeats changes that later pages contain, so that the cache keeps the revision of each object and passes over an earlier one.

--- a/jackdawpass/platform/store.py
+++ b/jackdawpass/platform/store.py
@@ -86,8 +86,13 @@
 
     @defer.inlineCallbacks
     def list(self, kind: str, stale: bool = False) -> _CallGenerator:
-        """Read all objects of a kind; `stale` allows a cheaper, older answer."""
+        """Read all objects of a kind; `stale` allows a cheaper, older answer.
+
+        The pages are read one after the other, so the list is complete only up to the
+        revision of the oldest one. A watch from there repeats the later changes.
+        """
         items: list[mirror.Item] = []
+        revisions: list[int] = []
         after = ""
         while True:
             query = {"after": after} if after else {}
@@ -99,9 +104,10 @@
             if isinstance(page, result.Failure):
                 return page
             listing = page.unwrap()
+            revisions.append(listing.at)
             items += [self._decode_item(kind, stored) for stored in listing.items]
             if not listing.more or not listing.items:
-                return result.Success(mirror.Listing(tuple(items), listing.at))
+                return result.Success(mirror.Listing(tuple(items), min(revisions)))
             after = listing.items[-1].meta.name
 
     @defer.inlineCallbacks
@@ -157,7 +163,7 @@
     ) -> mirror.Item:
         decode = self._decoders.get(kind)
         content = None if decode is None else decode(stored.meta.name, stored.spec)
-        return mirror.Item(stored.meta.name, content)
+        return mirror.Item(stored.meta.name, content, stored.meta.revision)
 
     def _call(
         self, method: str, path: str, timeout: float, body: bytes = b""
--- a/jackdawpass/process/serving/mirror.py
+++ b/jackdawpass/process/serving/mirror.py
@@ -42,15 +42,18 @@
     ----------
     content : object
         Content decoded by the adapter; None if it could not be decoded.
+    revision : int
+        Revision of the object's last change.
     """
 
     name: str
     content: typing.Any
+    revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listing:
-    """All objects of a kind at a revision of the store."""
+    """All objects of a kind; later changes than `revision` may be missing."""
 
     items: tuple[Item, ...]
     revision: int
@@ -96,6 +99,7 @@
     def __init__(self, batch_seconds: float = BATCH_SECONDS) -> None:
         self._batch_seconds = batch_seconds
         self._items: dict[str, typing.Any] = {}
+        self._revisions: dict[str, int] = {}
         self._unconfirmed: set[str] = set()
         self._failures = 0
         self._recovered_at = -math.inf
@@ -139,12 +143,17 @@
         kept = missing if self._in_grace_period(now) else set()
         self._unconfirmed = set(kept)
         self._items = {name: self._items[name] for name in kept} | listed
+        self._revisions = {item.name: item.revision for item in listing.items}
         self._revision = listing.revision
 
     def on_changes(self, now: float, changes: Changes) -> None:
         """Apply changes; one batch may delete an object and create it again."""
         self._on_success(now)
         for item in changes.changed:
+            # A watch repeats changes that the list may contain already.
+            if item.revision < self._revisions.get(item.name, 0):
+                continue
+            self._revisions[item.name] = item.revision
             self._items[item.name] = item.content
             self._unconfirmed.discard(item.name)
         for name in changes.deleted:
@@ -152,6 +161,7 @@
                 self._unconfirmed.add(name)
             else:
                 self._items.pop(name, None)
+                self._revisions.pop(name, None)
         self._revision = changes.revision
 
     def on_history_gone(self) -> None:
--- a/tests/process/serving/test_forwarding.py
+++ b/tests/process/serving/test_forwarding.py
@@ -92,13 +92,7 @@
 
     def fall_back(self) -> ingress.Exchange:
         self.fallbacks += 1
-        return self
-
-    def caller_gone(self) -> None:
-        pass
-
-    def expire(self) -> None:
-        pass
+        return ingress.FinishedExchange()
 
 
 @pytest.fixture
--- a/tests/process/serving/test_mirror.py
+++ b/tests/process/serving/test_mirror.py
@@ -196,3 +196,18 @@
     harness.store_health.unavailable = False
     harness.store_health.waiting[0].callback(None)
     assert harness.store.calls[-1] == "list"
+
+
+def test_change_that_the_list_contains_is_not_applied_again() -> None:
+    """Guards against a target that is used again after its entry said it leaves."""
+    cache = mirror.ObjectCache()
+    cache.on_listing(0.0, mirror.Listing((mirror.Item("a", "leaving", 14),), 10))
+    older = mirror.Item("a", "ready", 12)
+    cache.on_changes(1.0, mirror.Changes((older,), (), 12))
+    assert cache.items == {"a": "leaving"}
+    for item in (mirror.Item("a", "leaving", 14), mirror.Item("a", "ready", 15)):
+        cache.on_changes(2.0, mirror.Changes((item,), (), item.revision))
+    assert cache.items == {"a": "ready"}
+    cache.on_changes(3.0, mirror.Changes((), ("a",), 16))
+    cache.on_changes(4.0, mirror.Changes((mirror.Item("a", "new", 1),), (), 17))
+    assert cache.items == {"a": "new"}
