Count the version of this instance's own answers as shown

Cause: an instance names to aggregators the newest version seen in their answers. While the store turned the aggregators away it served by its own, newer table, which did not count; when they were ready again, still with the old table, they took its requests.

Change: serving by the own table counts as shown, and an instance whose table is older than what it has shown refuses as not run on every path, also as a new aggregator.

--- a/jackdawpass/process/serving/forwarded_request.py
+++ b/jackdawpass/process/serving/forwarded_request.py
@@ -30,7 +30,7 @@
 
     @property
     def version(self) -> int:
-        """Highest configuration version seen in an answer."""
+        """Highest configuration version by which this instance has answered."""
 
     def choose(
         self, tried: collections.abc.Collection[str]
--- a/jackdawpass/process/serving/forwarding.py
+++ b/jackdawpass/process/serving/forwarding.py
@@ -56,7 +56,7 @@
 
     @property
     def version(self) -> int:
-        """Highest configuration version seen in an answer."""
+        """Highest configuration version by which this instance has answered."""
         return self._version
 
     @property
--- a/jackdawpass/process/serving/handlers.py
+++ b/jackdawpass/process/serving/handlers.py
@@ -228,6 +228,17 @@
     def _serve(
         self, request: caller_requests.CallerRequest, on_response: ingress.OnResponse
     ) -> ingress.Exchange:
+        """Serve a request by the routing table of this instance.
+
+        Refuses the request if this instance has already answered by a newer version,
+        its own or that of an aggregator.
+        """
+        table = self._gateway.table
+        version = 0 if table is None else table.version
+        if version < self._forwarder.version:
+            return self._refuse(on_response)
+        self._forwarder.on_version(version)
+
         def on_outcome(outcome: caller_requests.Outcome) -> None:
             on_response(self._wire.encode_outcome(outcome))
 
@@ -250,7 +261,7 @@
 
         def serve() -> ingress.Exchange:
             if self._instance.synced:
-                return self._serve_directly(request, on_response)
+                return self._serve(request, on_response)
             return self._forward(
                 request, deadline, on_response, lambda: self._refuse(on_response)
             )
@@ -261,21 +272,6 @@
             serve,
         )
 
-    def _serve_directly(
-        self, request: caller_requests.CallerRequest, on_response: ingress.OnResponse
-    ) -> ingress.Exchange:
-        """Serve a request that no aggregator accepts.
-
-        Refuses the request if an answer has already come from a newer configuration
-        version than that of this instance.
-        """
-        table = self._gateway.table
-        version = 0 if table is None else table.version
-        if version < self._forwarder.version:
-            return self._refuse(on_response)
-        self._forwarder.on_version(version)
-        return self._serve(request, on_response)
-
     def _refuse(self, on_response: ingress.OnResponse) -> ingress.Exchange:
         on_response(self._wire.encode_outcome(immediate_refusals.NO_CONFIGURATION))
         return ingress.FinishedExchange()
--- a/tests/process/serving/test_handlers.py
+++ b/tests/process/serving/test_handlers.py
@@ -242,17 +242,53 @@
 class FakeForwarder:
     """Forwarder that accepts every request and has seen version 7."""
 
-    version = 7
-
-    def __init__(self, fresh: bool) -> None:
+    def __init__(self, fresh: bool, version: int = 7) -> None:
         self.fresh = fresh
+        self.version = version
         self.forwarded = 0
 
+    def on_version(self, version: int) -> None:
+        self.version = max(self.version, version)
+
     def forward_request(self, *_: object) -> ingress.Exchange:
         self.forwarded += 1
         return ingress.FinishedExchange()
 
 
+def send_as_caller(
+    fake_gateway: FakeGateway, fake_forwarder: FakeForwarder, instance: FakeInstance
+) -> None:
+    arguments: typing.Any = (
+        None,
+        FakeDialect(),
+        fake_gateway,
+        fake_forwarder,
+        instance,
+    )
+    callers = handlers.CallerHandler(*arguments)
+    request = ingress.IncomingRequest(b"GET", b"/x", (), b"")
+    callers.handle(request, lambda answer: None)
+
+
+@pytest.mark.parametrize("asks_targets", [True, False])
+def test_version_that_this_instance_has_served_is_remembered(
+    asks_targets: bool,
+) -> None:
+    """Guards against forwarding to an aggregator that still has an older version."""
+    instance = FakeInstance()
+    instance.asks_targets = asks_targets
+    fake_gateway, fake_forwarder = FakeGateway(), FakeForwarder(False, version=6)
+    send_as_caller(fake_gateway, fake_forwarder, instance)
+    assert len(fake_gateway.served) == 1 and fake_forwarder.version == 7
+
+
+def test_new_aggregator_serves_no_older_version() -> None:
+    """Guards against an instance whose own table is older than what it forwarded."""
+    fake_gateway, fake_forwarder = FakeGateway(), FakeForwarder(True, version=8)
+    send_as_caller(fake_gateway, fake_forwarder, FakeInstance())
+    assert not fake_gateway.served and not fake_forwarder.forwarded
+
+
 @pytest.mark.parametrize(
     ("fresh", "changes", "forwarded"),
     [
@@ -271,16 +307,7 @@
     for name, value in changes.items():
         setattr(instance, name, value)
     fake_gateway, fake_forwarder = FakeGateway(), FakeForwarder(fresh)
-    arguments: typing.Any = (
-        None,
-        FakeDialect(),
-        fake_gateway,
-        fake_forwarder,
-        instance,
-    )
-    callers = handlers.CallerHandler(*arguments)
-    request = ingress.IncomingRequest(b"GET", b"/x", (), b"")
-    callers.handle(request, lambda answer: None)
+    send_as_caller(fake_gateway, fake_forwarder, instance)
     assert (fake_forwarder.forwarded, len(fake_gateway.served)) == (
         forwarded,
         1 - forwarded,
