Apply the limits in force to each request of a kept connection

Cause: a connection took the limits when it was opened and after each answer, so that an idle one kept those of the version at its last answer.

Change: the limits are taken when a request begins.

Measured: test_kept_connection_follows_changed_limits failed before (413 for the raised limit) and passes now.

--- a/jackdawpass/connection/ingress.py
+++ b/jackdawpass/connection/ingress.py
@@ -238,7 +238,8 @@
             transport.loseConnection()
 
     def on_message_begin(self) -> None:
-        """Begin a request (called by the parser)."""
+        """Begin a request, by the limits in force now (called by the parser)."""
+        self._limits = self._handler.caller_limits
         self._receiving = self._in_head = True
         self._target = b""
         self._headers = []
--- a/tests/connection/test_ingress.py
+++ b/tests/connection/test_ingress.py
@@ -135,6 +135,22 @@
     assert caller.handler.served[0].request.body == b"ab" * (payload_bytes // 2)
 
 
+def test_kept_connection_follows_changed_limits(caller: Caller) -> None:
+    """Guards against a proper body refused by the limits of an older version."""
+    caller.send(GET)
+    caller.answer(0)
+    caller.handler.caller_limits = routes.CallerLimits(100, 20, 3.0, 15.0)
+    caller.send(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n")
+    caller.send(b"x" * 20)
+    assert len(caller.handler.served) == 2
+    caller.handler.caller_limits = routes.CallerLimits(100, 10, 3.0, 15.0)
+    caller.answer(1)
+    caller.transport.clear()
+    caller.send(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n")
+    caller.send(b"x" * 20)
+    assert caller.status == b"413"
+
+
 def test_connection_is_busy_until_its_response_is_sent(caller: Caller) -> None:
     """Guards against an exit while a caller still reads its answer."""
     caller.send(GET)
