Hand a returned connection on without recursion

Cause: Pool.release calls the next waiting request, and one that has ended returns the connection by calling release again: one level of the stack for each ended request, found by the review by reading. With 5,000 of them RecursionError leaves the connection and all requests behind it stuck.

Change: a connection that is returned meanwhile waits in a queue that the outermost call works off.

Measured: test_requests_that_ended_while_waiting_are_passed_over failed before.

--- a/jackdawpass/connection/pool.py
+++ b/jackdawpass/connection/pool.py
@@ -97,6 +97,10 @@
             collections.deque()
         )
         self._waiting: collections.deque[OnConnection] = collections.deque()
+        self._returned: collections.deque[http_connection.HttpConnection] = (
+            collections.deque()
+        )
+        self._handing_out = False
         self._closed = False
 
     @property
@@ -164,6 +168,19 @@
 
     def release(self, connection: http_connection.HttpConnection) -> None:
         """Return a connection after a complete reply or without any request sent."""
+        self._returned.append(connection)
+        if self._handing_out:
+            # A request that has ended meanwhile returns its connection at once; the
+            # loop below hands it to the next one without recursion.
+            return
+        self._handing_out = True
+        try:
+            while self._returned:
+                self._hand_out(self._returned.popleft())
+        finally:
+            self._handing_out = False
+
+    def _hand_out(self, connection: http_connection.HttpConnection) -> None:
         if not connection.open:
             return
         if connection.busy:
--- a/tests/connection/test_pool.py
+++ b/tests/connection/test_pool.py
@@ -116,6 +116,21 @@
     assert network.pool.size == 0
 
 
+def test_requests_that_ended_while_waiting_are_passed_over() -> None:
+    """Guards against a recursion as deep as the number of ended requests."""
+    network = Network(limit=1)
+    ended = 5000
+    for _ in range(ended):
+        network.pool.acquire(
+            lambda connection: (
+                None if connection is None else network.pool.release(connection)
+            )
+        )
+    network.acquire()
+    network.connect()
+    assert len(network.taken) == 1 and network.taken[0] is not None
+
+
 def test_busy_connection_never_returns_to_the_pool() -> None:
     """Guards against a late reply that reaches the next request."""
     network = Network(limit=1)
