Reserve the ports of all rigs from one source

The benchmark drew from the ephemeral range, where an outgoing connection may take the port of a process that is down.

--- a/jackdawpass/bench/fleet.py
+++ b/jackdawpass/bench/fleet.py
@@ -5,14 +5,13 @@
 import json
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import threading
 import time
 import typing
 
-from jackdawpass.bench import relay
+from jackdawpass.bench import ports, relay
 from jackdawpass.connection import blocking
 from jackdawpass.version import parts
 
@@ -210,7 +209,7 @@
     def _start_process(self, name: str, zone: str, seeds: tuple[str, ...]) -> None:
         host = _ZONE_HOSTS[zone]
         self._relay.tag_source(host, zone)
-        port = _free_port(host)
+        port = ports.reserve(host)
         relayed = self._relay.add(host, port, zone)
         document = {
             "instance": name,
@@ -252,9 +251,3 @@
 
 def _platform_tag(zone: str) -> str:
     return f"platform for {zone}"
-
-
-def _free_port(host: str) -> int:
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return int(sock.getsockname()[1])
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -2,14 +2,12 @@
 
 import json
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
 import typing
 
-from jackdawpass.bench import processes
+from jackdawpass.bench import ports, processes
 from jackdawpass.connection import blocking
 from jackdawpass.process.serving import instance_registry
 from soak import proxy
@@ -42,24 +40,6 @@
 """
 
 
-# Below the ephemeral range, so that no outgoing connection takes the port of a front
-# that is down.
-_PORTS = range(20_000, 32_000)
-
-
-def free_port() -> int:
-    """Return a free port outside the ephemeral range."""
-    while True:
-        port = random.SystemRandom().choice(_PORTS)
-        with socket.socket() as listening:
-            try:
-                listening.bind(("127.0.0.1", port))
-            except OSError:
-                # Another process has the port.
-                continue
-            return port
-
-
 class Front:
     """One front process, which can be restarted."""
 
@@ -206,7 +186,7 @@
 
     def _add_front(self, directory: pathlib.Path, name: str, zone: str) -> None:
         link = self.store_links[name] = self.proxies.add(self.store.port)
-        port, ready = free_port(), free_port()
+        port, ready = ports.reserve(), ports.reserve()
         path = directory / f"{name}.toml"
         path.write_text(
             SETTINGS_TEMPLATE.format(
@@ -214,7 +194,7 @@
                 zone=zone,
                 front=port,
                 ready=ready,
-                peers=free_port(),
+                peers=ports.reserve(),
                 store=link.port,
             )
         )
--- a/tests/commands/test_front.py
+++ b/tests/commands/test_front.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 
+from jackdawpass.bench import ports
 from soak import testbed
 
 
@@ -19,8 +20,8 @@
             name="front-1",
             zone="a",
             front=used_port,
-            ready=testbed.free_port(),
-            peers=testbed.free_port(),
+            ready=ports.reserve(),
+            peers=ports.reserve(),
             store=9,
         )
         settings.write_text(text)
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -7,6 +7,7 @@
 import pathlib
 import typing
 
+from jackdawpass.bench import ports
 from soak import testbed
 from tests import rig
 
@@ -137,7 +138,7 @@
 
     def start_front(self, name: str = "front-1", zone: str = "a") -> Front:
         """Start a front without waiting until it is ready."""
-        front, ready = testbed.free_port(), testbed.free_port()
+        front, ready = ports.reserve(), ports.reserve()
         path = self._directory / f"{name}.toml"
         path.write_text(
             testbed.SETTINGS_TEMPLATE.format(
@@ -145,7 +146,7 @@
                 zone=zone,
                 front=front,
                 ready=ready,
-                peers=testbed.free_port(),
+                peers=ports.reserve(),
                 store=self.store.port,
             )
         )
