--- a/jackdawpass/connection/ingress.py
+++ b/jackdawpass/connection/ingress.py
@@ -158,13 +158,13 @@
 
     @property
     def idle(self) -> bool:
-        """True when no request is being received or served and no response sent."""
+        """True when no request is received or served, and no response being sent."""
         return not (
             self._serving
             or self._pending
             or self._receiving
-            # A closed connection is removed once its last response is sent.
             or self._write_paused
+            # It remains in use until the rest of its last response is sent.
             or self._closed
         )
 
--- a/jackdawpass/standins/listed_target.py
+++ b/jackdawpass/standins/listed_target.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import functools
 import hashlib
 import typing
 
@@ -66,14 +67,18 @@
     at: float
 
 
-def group_records(group: str, path: str, count: int) -> list[bytes]:
-    """Return the records that each target of a group returns for a path."""
-    return [
+@functools.lru_cache(maxsize=16)
+def group_records(group: str, path: str, count: int) -> tuple[bytes, ...]:
+    """Return the records that each target of a group returns for a path.
+
+    The result is cached, since some tests request large answers repeatedly.
+    """
+    return tuple(
         hashlib.blake2b(
             f"{group} {path} {number}".encode(), digest_size=RECORD_BYTES
         ).digest()
         for number in range(count)
-    ]
+    )
 
 
 class ListedTarget:
--- a/tests/platform/load.py
+++ b/tests/platform/load.py
@@ -1,13 +1,29 @@
-"""Callers on kept and new connections while a front stops."""
+"""Callers that a test of a front process plays."""
 
 import concurrent.futures
 import http.client
 import signal
+import socket
 import threading
 import time
 
 from tests.platform import site
 
+READ_TIMEOUT_SECONDS = 6.0
+
+
+def open_slow_reader(front: site.Front, path: str) -> socket.socket:
+    """Send a request from a socket whose window holds little of the answer."""
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+    caller.settimeout(READ_TIMEOUT_SECONDS)
+    caller.connect(("127.0.0.1", front.port))
+    caller.sendall(
+        f"POST {path} HTTP/1.1\r\nHost: {site.HOST}\r\nContent-Length: 0\r\n"
+        "X-Attempt-Id: slow\r\nX-Request-Deadline: 8000\r\n\r\n".encode()
+    )
+    return caller
+
 
 class Load:
     """Callers on kept and new connections before and during a stop."""
--- a/tests/platform/test_stop_process.py
+++ b/tests/platform/test_stop_process.py
@@ -2,7 +2,6 @@
 
 import pathlib
 import signal
-import socket
 import time
 
 import pytest
@@ -16,19 +15,6 @@
 RECORD_BYTES = 16
 
 
-def open_slow_reader(front: site.Front, path: str) -> socket.socket:
-    """Send a request from a socket whose window holds little of the answer."""
-    caller = socket.socket()
-    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
-    caller.settimeout(GRACE_SECONDS)
-    caller.connect(("127.0.0.1", front.port))
-    caller.sendall(
-        f"POST {path} HTTP/1.1\r\nHost: {site.HOST}\r\nContent-Length: 0\r\n"
-        "X-Attempt-Id: slow\r\nX-Request-Deadline: 8000\r\n\r\n".encode()
-    )
-    return caller
-
-
 def test_answers_are_read_to_their_end_after_the_signal(
     processes: rig.Rig, tmp_path: pathlib.Path
 ) -> None:
@@ -38,7 +24,7 @@
     reserve = site.route("reserve", service="s0", type="non_idempotent")
     deployment.configure(1, [reserve])
     front = deployment.add_front()
-    with open_slow_reader(front, "/reserve/x") as caller:
+    with load.open_slow_reader(front, "/reserve/x") as caller:
         received = len(caller.recv(4096))
         stopped_at = time.monotonic()
         front.process.signal(signal.SIGTERM)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -64,6 +64,11 @@
         for line in self._popen.stdout:
             self.lines.append(line)
 
+    @property
+    def pid(self) -> int:
+        """Id of the process."""
+        return self._popen.pid
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         self._popen.send_signal(number)
