Let the racing repeats and the killed instance outlast a busy machine

With a delay of 0.3 s at the targets, a part of eight racing repeats was sent after the first had its answer and got the recorded one, 200, not 409; and an instance was killed after it had answered. total_runs was 1 in both: nothing ran twice. A run with a delay of 10 ms on a calm machine fails in the same way for the killed instance.

Change: these two delay the targets for 2 s, with a timeout of 8 s; every check stays.

--- a/tests/failures/test_at_most_once.py
+++ b/tests/failures/test_at_most_once.py
@@ -12,6 +12,9 @@
 
 PLACEMENT = {"book-a": [0, 1], "book-b": [0, 1]}
 DELAY_MS = 300
+# Longer than a busy machine takes to send some requests, or to kill a process.
+LONG_DELAY_MS = 2000
+LONG_TIMEOUT_MS = 8000
 
 
 class Cluster:
@@ -28,9 +31,9 @@
             for number in range(2)
         ]
 
-    def delay_targets(self, **faults: typing.Any) -> None:
+    def delay_targets(self, delay_ms: int = DELAY_MS, **faults: typing.Any) -> None:
         for target in self.processes.targets.values():
-            self.processes.faults(target, delay_ms=DELAY_MS, **faults)
+            self.processes.faults(target, delay_ms=delay_ms, **faults)
 
     def send(self, entry: int, key: str | None, **fields: typing.Any) -> rig.HttpAnswer:
         document = {"query": "reserve", "idempotent": False, "shard_key": "lot-7"}
@@ -66,9 +69,12 @@
 
 def test_racing_repeats_run_once(cluster: Cluster) -> None:
     """Guards against two instances that hold the claim of one key at the same time."""
-    cluster.delay_targets()
+    cluster.delay_targets(LONG_DELAY_MS)
     with concurrent.futures.ThreadPoolExecutor(8) as pool:
-        sent = [pool.submit(cluster.send, n % 2, "k1") for n in range(8)]
+        sent = [
+            pool.submit(cluster.send, n % 2, "k1", timeout_ms=LONG_TIMEOUT_MS)
+            for n in range(8)
+        ]
         statuses = sorted(each.result().status for each in sent)
     assert cluster.total_runs() == 1
     assert statuses == [200] + [409] * 7
@@ -76,9 +82,9 @@
 
 def test_killed_instance_leaves_the_outcome_unknown(cluster: Cluster) -> None:
     """Guards against a second run after the first instance was killed."""
-    cluster.delay_targets()
+    cluster.delay_targets(LONG_DELAY_MS)
     with concurrent.futures.ThreadPoolExecutor(1) as pool:
-        first = pool.submit(cluster.send, 0, "k1")
+        first = pool.submit(cluster.send, 0, "k1", timeout_ms=LONG_TIMEOUT_MS)
         rig.wait_for(lambda: cluster.total_runs() == 1, "the request runs")
         cluster.entries[0].signal(signal.SIGKILL)
         with pytest.raises(OSError):
