Share the start of a front with large answers between two tests

Cause: the tests of a planned stop and of unread answers set up the same front. Change: load.start_large_answers does it for both.

--- a/tests/platform/load.py
+++ b/tests/platform/load.py
@@ -2,14 +2,29 @@
 
 import concurrent.futures
 import http.client
+import pathlib
 import signal
 import socket
 import threading
 import time
 
+from jackdawpass.standins import listed_target
+from tests import rig
 from tests.platform import site
 
 READ_TIMEOUT_SECONDS = 6.0
+# More than the kernel buffers of a connection, so that the process holds a part.
+LARGE_ANSWER_BYTES = 600_000 * listed_target.RECORD_BYTES
+
+
+def start_large_answers(processes: rig.Rig, directory: pathlib.Path) -> site.Front:
+    """Start a front with a route, ``/reserve/``, whose answers are large."""
+    deployment = site.Site(processes, directory)
+    records = LARGE_ANSWER_BYTES // listed_target.RECORD_BYTES
+    deployment.add_target("t", "s0", records=records)
+    reserve = site.route("reserve", service="s0", type="non_idempotent")
+    deployment.configure(1, [reserve])
+    return deployment.add_front()
 
 
 def open_slow_reader(front: site.Front, path: str) -> socket.socket:
--- a/tests/platform/test_memory_process.py
+++ b/tests/platform/test_memory_process.py
@@ -8,8 +8,6 @@
 from tests.platform import load, site
 
 CALLERS = 60
-# More than the kernel buffers of a connection, so that the process holds a part.
-RECORDS = 600_000
 # As in the settings of the front.
 MEMORY_BYTES = 256 * 1024 * 1024
 
@@ -24,11 +22,7 @@
     processes: rig.Rig, tmp_path: pathlib.Path
 ) -> None:
     """Guards against callers that end a process by not reading their answers."""
-    deployment = site.Site(processes, tmp_path)
-    deployment.add_target("t", "s0", records=RECORDS)
-    reserve = site.route("reserve", service="s0", type="non_idempotent")
-    deployment.configure(1, [reserve])
-    front = deployment.add_front()
+    front = load.start_large_answers(processes, tmp_path)
     highest = 0
     with contextlib.ExitStack() as callers:
         for _ in range(CALLERS):
--- a/tests/platform/test_stop_process.py
+++ b/tests/platform/test_stop_process.py
@@ -10,20 +10,13 @@
 from tests.platform import load, site
 
 GRACE_SECONDS = 6.0
-# More than the kernel buffers of a connection, so that the process holds a part.
-RECORDS = 600_000
-RECORD_BYTES = 16
 
 
 def test_answers_are_read_to_their_end_after_the_signal(
     processes: rig.Rig, tmp_path: pathlib.Path
 ) -> None:
     """Guards against an exit that cuts off answers on their way to slow callers."""
-    deployment = site.Site(processes, tmp_path)
-    deployment.add_target("t", "s0", records=RECORDS)
-    reserve = site.route("reserve", service="s0", type="non_idempotent")
-    deployment.configure(1, [reserve])
-    front = deployment.add_front()
+    front = load.start_large_answers(processes, tmp_path)
     with load.open_slow_reader(front, "/reserve/x") as caller:
         received = len(caller.recv(4096))
         stopped_at = time.monotonic()
@@ -32,10 +25,10 @@
         seconds = GRACE_SECONDS - 1.5
         while data := caller.recv(1 << 16):
             received += len(data)
-            expected = min(received, RECORDS * RECORD_BYTES)
-            due = stopped_at + seconds * expected / (RECORDS * RECORD_BYTES)
+            expected = min(received, load.LARGE_ANSWER_BYTES)
+            due = stopped_at + seconds * expected / (load.LARGE_ANSWER_BYTES)
             time.sleep(max(0.0, due - time.monotonic()))
-    assert received > RECORDS * RECORD_BYTES
+    assert received > load.LARGE_ANSWER_BYTES
     assert front.process.wait() == 0
     assert time.monotonic() - stopped_at < GRACE_SECONDS
 
