Show requests denied by limits that are not in force

Cause: instances of a zone with aggregators hold no routing table, and take the default limits for those of the configuration.

--- a/review/world_2.py
+++ b/review/world_2.py
@@ -335,6 +335,8 @@
     path: str,
     request_id: str,
     deadline_ms: int = 2000,
+    method: str = "GET",
+    body: bytes = b"",
 ) -> Answer:
     """Send a request on a new connection and wait for its answer."""
     sent_at = record.now()
@@ -342,8 +344,10 @@
     try:
         reader, writer = await asyncio.open_connection(host, port)
         writer.write(
-            f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {request_id}\r\n"
-            f"X-Request-Deadline: {deadline_ms}\r\n\r\n".encode()
+            f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"X-Attempt-Id: {request_id}\r\nX-Request-Deadline: {deadline_ms}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n".encode()
+            + body
         )
         sent_at = record.now()
         record.line(f"client: sent {request_id} {path}")
@@ -484,7 +488,9 @@
         """Return the servers of a service."""
         return [each for each in self.servers.values() if each.service == service]
 
-    def configure(self, version: int, routes: list[Json]) -> None:
+    def configure(
+        self, version: int, routes: list[Json], max_body_bytes: int = 262144
+    ) -> None:
         """Write a configuration, as the operator does; its return acknowledges it."""
         names = sorted({server.service for server in self.servers.values()})
         services = [
@@ -493,7 +499,7 @@
         ]
         limits = {
             "max_header_bytes": 16384,
-            "max_body_bytes": 262144,
+            "max_body_bytes": max_body_bytes,
             "header_timeout_ms": 3000,
             "idle_timeout_ms": 15000,
         }
@@ -561,12 +567,26 @@
                 raise CannotRunError(f"waited in vain until {what}")
             await asyncio.sleep(0.05)
 
-    async def call(self, front: Front, path: str, deadline_ms: int = 2000) -> Answer:
+    async def call(
+        self,
+        front: Front,
+        path: str,
+        deadline_ms: int = 2000,
+        method: str = "GET",
+        body: bytes = b"",
+    ) -> Answer:
         """Send a request to a process on a new connection."""
         self._requests += 1
         request_id = f"{self._requests:016x}"
         return await call(
-            self.record, front.port, front.ip, path, request_id, deadline_ms
+            self.record,
+            front.port,
+            front.ip,
+            path,
+            request_id,
+            deadline_ms,
+            method,
+            body,
         )
 
     def close(self) -> None:
