--- a/review/world_2.py
+++ b/review/world_2.py
@@ -603,17 +603,21 @@
     record = Record(directory / "record.txt")
 
     async def run() -> int:
+        loop = asyncio.get_running_loop()
+        task = asyncio.current_task()
+        assert task is not None
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as temporary:
             world = World(record, pathlib.Path(temporary))
             try:
                 return HELD if await case(world) else BROKEN
-            except CannotRunError as error:
-                record.line(f"cannot run: {error}")
+            except (Exception, asyncio.CancelledError) as error:
+                record.line(f"cannot run: {error!r}")
                 return NOT_RUN
             finally:
                 world.close()
                 # The end of the loop cancels the stand-ins' open connections.
-                asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+                loop.set_exception_handler(lambda *_: None)
 
     status = asyncio.run(run())
     verdict = {HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}[status]
