Decline subqueries whose route has other limits

Cause: a subquery was accepted if the shards of both routes were equal, and then merged by the limit of the other instance's older route. The digest that both compare now covers the limit and max_attempts. The latter is the same fault on a related path: too many targets could be queried.

Evidence: the other instance logged the subquery with configuration_version 1, and the answer held 4 local and 5 other records instead of 12. Before the fix test_older_version_of_a_peer_merges_no_shards failed with 144 of 192 bytes, and both cases of test_subquery_with_other_limits_is_declined failed.

--- a/jackdawpass/process/serving/gateway.py
+++ b/jackdawpass/process/serving/gateway.py
@@ -241,12 +241,13 @@
         """Query some shards of a request on behalf of an instance of another zone.
 
         Returns None, without calling `on_outcome`, if this instance numbers the shards
-        differently. Configuration versions may differ if the shard sets are equal.
+        or limits the reply differently. Otherwise, configuration versions may differ.
         """
         now = clock.monotonic()
         table = self._table
         route = None if table is None else table.match(request.host, request.path)
-        if table is None or route is None or route.shard_set != subquery.shard_set:
+        digest = subquery.fanout_digest
+        if table is None or route is None or route.fanout_digest != digest:
             return None
         if not subquery.shards <= frozenset(range(len(route.shards))):
             return None
--- a/jackdawpass/process/serving/peer_wire.py
+++ b/jackdawpass/process/serving/peer_wire.py
@@ -26,8 +26,8 @@
 # In a request the wanted shards of its route; in a reply the covered shards, each with
 # the signature of its target.
 SHARDS = b"jackdawpass-shards"
-# Digest of the route's shards in their order, independent of the version.
-SHARD_SET = b"jackdawpass-shard-set"
+# Digest of the route's shards and limits, independent of the version.
+FANOUT_DIGEST = b"jackdawpass-fanout"
 # Milliseconds after which a partial reply is wanted.
 ANSWER_WITHIN_MS = b"jackdawpass-answer-within-ms"
 HEADERS = frozenset(
@@ -40,7 +40,7 @@
         AGE_MS,
         STOPS_IN_MS,
         SHARDS,
-        SHARD_SET,
+        FANOUT_DIGEST,
         ANSWER_WITHIN_MS,
     )
 )
@@ -76,13 +76,13 @@
 
     Attributes
     ----------
-    shard_set : str
-        Digest of the route's shards in their order, which numbers them.
+    fanout_digest : str
+        Digest of the route's shards, in their order, and of its limits.
     answer_within : float
         Seconds after which a partial reply is wanted.
     """
 
-    shard_set: str
+    fanout_digest: str
     shards: frozenset[int]
     answer_within: float
 
@@ -165,7 +165,7 @@
     """Return the headers of a subquery."""
     shards = b",".join(b"%d" % shard for shard in sorted(subquery.shards))
     return (
-        (SHARD_SET, subquery.shard_set.encode()),
+        (FANOUT_DIGEST, subquery.fanout_digest.encode()),
         (SHARDS, shards),
         (ANSWER_WITHIN_MS, b"%d" % round(subquery.answer_within * 1000)),
     )
@@ -182,8 +182,8 @@
     except ValueError:
         # Matches no route, so that the request is declined.
         return Subquery("", frozenset(), 0.0)
-    shard_set = (request.header(SHARD_SET) or b"").decode("latin-1")
-    return Subquery(shard_set, wanted, answer_within)
+    fanout_digest = (request.header(FANOUT_DIGEST) or b"").decode("latin-1")
+    return Subquery(fanout_digest, wanted, answer_within)
 
 
 def encode_signatures(
--- a/jackdawpass/process/serving/plans.py
+++ b/jackdawpass/process/serving/plans.py
@@ -32,7 +32,7 @@
     return model.QueryPlan(
         request_id=request.request_id,
         service=route.name,
-        snapshot=route.shard_set if route.shards else str(version),
+        snapshot=route.fanout_digest if route.shards else str(version),
         shards=frozenset(range(shards)),
         deadline=now + max(MIN_DEADLINE_SECONDS, timeout - ANSWER_MARGIN_SECONDS),
         limit=route.limit,
--- a/jackdawpass/version/routes.py
+++ b/jackdawpass/version/routes.py
@@ -82,9 +82,14 @@
     min_coverage: float = 0.0
 
     @property
-    def shard_set(self) -> str:
-        """Digest of the ordered shards; equal in all versions with the same shards."""
-        return xxhash.xxh3_64_hexdigest("\n".join(self.shards).encode())
+    def fanout_digest(self) -> str:
+        """Digest of the ordered shards and the limits of a merged reply.
+
+        Instances whose digests are equal merge the same reply, also if their
+        configuration versions differ.
+        """
+        parts = (str(self.limit), str(self.max_attempts), *self.shards)
+        return xxhash.xxh3_64_hexdigest("\n".join(parts).encode())
 
     def pick_group(self, draw: float) -> str:
         """Pick a group by weight; `draw` is a random number uniform in [0, 1)."""
--- a/tests/front_mutations.py
+++ b/tests/front_mutations.py
@@ -192,7 +192,7 @@
     mutation.Mutation(
         "front: subquery of the same shards",
         "jackdawpass/process/serving/gateway.py",
-        " or route.shard_set != subquery.shard_set:",
+        " or route.fanout_digest != digest:",
         ":",
         "tests/process/serving/test_gateway.py",
     ),
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -136,8 +136,13 @@
         runs: list[dict[str, str]] = answer.document["runs"]
         return runs
 
-    def start_front(self, name: str = "front-1", zone: str = "a") -> Front:
-        """Start a front without waiting until it is ready."""
+    def start_front(
+        self, name: str = "front-1", zone: str = "a", store_port: int | None = None
+    ) -> Front:
+        """Start a front without waiting until it is ready.
+
+        `store_port` is the port of a proxy of the store; None connects directly.
+        """
         front, ready = ports.reserve(), ports.reserve()
         path = self._directory / f"{name}.toml"
         path.write_text(
@@ -147,7 +152,7 @@
                 front=front,
                 ready=ready,
                 peers=ports.reserve(),
-                store=self.store.port,
+                store=store_port or self.store.port,
             )
         )
         process = self._processes.start_plain("front", "--settings", str(path))
--- a/tests/platform/test_subqueries_process.py
+++ b/tests/platform/test_subqueries_process.py
@@ -5,13 +5,17 @@
 import pathlib
 import signal
 import time
+import typing
 
 import pytest
 
 from jackdawpass.process.serving import instance_registry
+from jackdawpass.standins import listed_target
+from soak import proxy
 from tests import rig
 from tests.platform import site
 
+RECORD_BYTES = listed_target.RECORD_BYTES
 GROUPS = ("s0", "s1", "s2", "s3")
 ROUTES = [site.route("search", fanout=list(GROUPS), top_k=5, min_shard_ratio=0.5)]
 
@@ -19,14 +23,15 @@
 class Zones:
     """Fronts in zones a and b; of all shards, only s0 has a target in zone a."""
 
-    def __init__(self, deployment: site.Site) -> None:
+    def __init__(self, deployment: site.Site, store_link: proxy.Link) -> None:
         self.deployment = deployment
+        self.remote_store_link = store_link
         for group in GROUPS:
             deployment.add_target(f"{group}-c", group, "c")
             deployment.add_target(f"{group}-b", group, "a" if group == "s0" else "b")
         deployment.configure(1, ROUTES)
         self.local_front = deployment.start_front("front-a", "a")
-        self.remote_front = deployment.start_front("front-b", "b")
+        self.remote_front = deployment.start_front("front-b", "b", store_link.port)
         for front in (self.local_front, self.remote_front):
             rig.wait_for(front.ready, "a front is ready")
         rig.wait_for(lambda: self.subqueries > 0, "a subquery reaches the other zone")
@@ -35,12 +40,16 @@
     def subqueries(self) -> int:
         """Subqueries that the remote front served, after a request to the local one."""
         assert self.local_front.request("/search/x", "warm").status == 200
+        return len(self.served_subqueries())
+
+    def served_subqueries(self) -> list[dict[str, typing.Any]]:
+        """Return the log line of each subquery that the remote front served."""
         lines = [
-            line
+            json.loads(line)
             for line in self.remote_front.process.lines
             if '"request_finished"' in line
         ]
-        return sum(bool(json.loads(line).get("subquery")) for line in lines)
+        return [line for line in lines if line.get("subquery")]
 
 
 @pytest.fixture
@@ -48,7 +57,10 @@
     processes: rig.Rig, tmp_path: pathlib.Path
 ) -> collections.abc.Iterator[Zones]:
     """Start two fronts that have discovered each other."""
-    yield Zones(site.Site(processes, tmp_path))
+    deployment = site.Site(processes, tmp_path)
+    proxies = proxy.Proxies()
+    yield Zones(deployment, proxies.add(deployment.store.port))
+    proxies.close()
 
 
 def _request_repeatedly(
@@ -112,3 +124,21 @@
             groups = {each.split(":")[0] for each in reply.signatures}
             assert reply.headers["x-parts-missing"] == "0"
             assert groups in (set(GROUPS), set(GROUPS[1:]))
+
+
+def test_older_version_of_a_peer_merges_no_shards(zones: Zones) -> None:
+    """Guards against records that a peer drops by the limit of an older route."""
+    zones.remote_store_link.mode = proxy.Mode.SILENT
+    changed = site.route("sweep", fanout=list(GROUPS), top_k=12, min_shard_ratio=0.5)
+    nested = changed | {"path_prefix": "/search/sweep/"}
+    zones.deployment.configure(2, [*ROUTES, nested])
+    path = "/search/sweep/x"
+    rig.wait_for(
+        lambda: len(zones.local_front.request(path).body) > 5 * RECORD_BYTES,
+        "version 2 is in force at the local front",
+    )
+    for number in range(20):
+        reply = zones.local_front.request(path, f"q-{number}")
+        assert reply.status == 200 and reply.headers["x-parts-missing"] == "0"
+        served = zones.served_subqueries()[-1]
+        assert len(reply.body) == 12 * RECORD_BYTES, served
--- a/tests/process/serving/test_gateway.py
+++ b/tests/process/serving/test_gateway.py
@@ -1,5 +1,6 @@
 """Acceptance of subqueries by a gateway."""
 
+import dataclasses
 import random
 import typing
 
@@ -45,11 +46,11 @@
 
 
 def send_subquery(
-    gateway_v5: gateway.Gateway, shard_set: str, *shards: int
+    gateway_v5: gateway.Gateway, fanout_digest: str, *shards: int
 ) -> list[typing.Any]:
     """Return the outcomes of a subquery; empty if it was declined."""
     outcomes: list[typing.Any] = []
-    subquery = peer_wire.Subquery(shard_set, frozenset(shards), 0.05)
+    subquery = peer_wire.Subquery(fanout_digest, frozenset(shards), 0.05)
     exchange = gateway_v5.serve_subquery(REQUEST, subquery, outcomes.append)
     assert (exchange is None) == (not outcomes)
     return outcomes
@@ -57,18 +58,27 @@
 
 def test_subquery_of_the_same_shards_is_accepted(gateway_v5: gateway.Gateway) -> None:
     """Guards against instances that always decline each other's subqueries."""
-    assert len(send_subquery(gateway_v5, ROUTE.shard_set, 0, 2)) == 1
+    assert len(send_subquery(gateway_v5, ROUTE.fanout_digest, 0, 2)) == 1
 
 
 def test_shards_numbered_differently_are_declined(gateway_v5: gateway.Gateway) -> None:
     """Guards against an answer that mixes shards of two configuration versions."""
     other = routes.Route("r", "h", "/x/", True, SHARDS[::-1], (), 1.0, 0.1)
-    assert not send_subquery(gateway_v5, other.shard_set, 0, 2)
+    assert not send_subquery(gateway_v5, other.fanout_digest, 0, 2)
     assert not send_subquery(gateway_v5, "", 0)
 
 
+@pytest.mark.parametrize("change", [{"limit": 50}, {"max_attempts": 3}])
+def test_subquery_with_other_limits_is_declined(
+    gateway_v5: gateway.Gateway, change: dict[str, typing.Any]
+) -> None:
+    """Guards against records lost, or targets queried, by another version's limit."""
+    other = dataclasses.replace(ROUTE, **change)
+    assert not send_subquery(gateway_v5, other.fanout_digest, 0, 2)
+
+
 def test_unknown_shard_is_declined(
     gateway_v5: gateway.Gateway,
 ) -> None:
     """Guards against a crash on a shard number from a different configuration."""
-    assert not send_subquery(gateway_v5, ROUTE.shard_set, 0, 3)
+    assert not send_subquery(gateway_v5, ROUTE.fanout_digest, 0, 3)
--- a/tests/process/serving/test_handlers.py
+++ b/tests/process/serving/test_handlers.py
@@ -16,7 +16,7 @@
 )
 from jackdawpass.version import routes
 
-SHARD_SET = "s7"
+FANOUT_DIGEST = "s7"
 
 
 class FakeInstance:
@@ -92,7 +92,7 @@
         subquery: peer_wire.Subquery,
         on_outcome: object,
     ) -> ingress.Exchange | None:
-        if subquery.shard_set != SHARD_SET:
+        if subquery.fanout_digest != FANOUT_DIGEST:
             return None
         self.subqueries.append(subquery)
         return self  # type: ignore[return-value]
@@ -107,9 +107,9 @@
         self.handler = peer_handler.PeerHandler(wire, fake_gateway, self.instance)
 
     def send_subquery(
-        self, shard_set: str = SHARD_SET
+        self, fanout_digest: str = FANOUT_DIGEST
     ) -> ingress.OutgoingResponse | None:
-        subquery = peer_wire.Subquery(shard_set, frozenset((1, 4)), 0.05)
+        subquery = peer_wire.Subquery(fanout_digest, frozenset((1, 4)), 0.05)
         headers = peer_wire.encode_subquery(subquery)
         answers: list[ingress.OutgoingResponse] = []
         request = ingress.IncomingRequest(b"GET", b"/x", headers, b"")
@@ -219,14 +219,14 @@
     assert not peer.gateway.served
 
 
-def test_subquery_of_the_same_shard_set_is_served(peer: PeerHarness) -> None:
+def test_subquery_of_the_same_fanout_digest_is_served(peer: PeerHarness) -> None:
     """Guards against a subquery that is served as a complete request."""
     assert peer.send_subquery() is None
     assert [each.shards for each in peer.gateway.subqueries] == [{1, 4}]
     assert not peer.gateway.served
 
 
-def test_subquery_of_another_shard_set_is_declined(peer: PeerHarness) -> None:
+def test_subquery_of_another_fanout_digest_is_declined(peer: PeerHarness) -> None:
     """Guards against an answer that mixes two configuration versions."""
     answer = peer.send_subquery("other")
     assert answer is not None and not is_accepted(answer)
--- a/tests/process/serving/test_subqueries.py
+++ b/tests/process/serving/test_subqueries.py
@@ -39,7 +39,7 @@
     return dialect.HttpReply(answer.status, answer.body, answer.headers)
 
 
-def test_subquery_carries_shard_set_shards_and_time(
+def test_subquery_carries_fanout_digest_shards_and_time(
     subquery_dialect: subqueries.SubqueryDialect,
 ) -> None:
     """Guards against shards that are numbered differently, and late partial replies."""
@@ -48,7 +48,7 @@
     headers = tuple(tuple(line.split(b"=")) for line in sent[1:-1])
     subquery = peer_wire.decode_subquery(as_request(headers))  # type: ignore[arg-type]
     assert subquery is not None
-    assert (subquery.shard_set, subquery.shards) == ("s7", ATTEMPT.shards)
+    assert (subquery.fanout_digest, subquery.shards) == ("s7", ATTEMPT.shards)
     assert 0.49 < subquery.answer_within < 0.5
 
 
@@ -60,9 +60,9 @@
 @pytest.mark.parametrize("shards", [b"", b"x", b"1,,2", b"-"])
 def test_malformed_subquery_matches_no_route(shards: bytes) -> None:
     """Guards against an answer to another request than the one sent."""
-    fields = ((peer_wire.SHARDS, shards), (peer_wire.SHARD_SET, b"s7"))
+    fields = ((peer_wire.SHARDS, shards), (peer_wire.FANOUT_DIGEST, b"s7"))
     subquery = peer_wire.decode_subquery(as_request(fields))
-    assert subquery is not None and not subquery.shard_set
+    assert subquery is not None and not subquery.fanout_digest
 
 
 def test_merged_reply_survives_a_round_trip(
