Replace targets that announce in a reply that they leave

Cause: the header was unknown; only the store's list said who leaves.

Change: the adapter decodes the header into a notice. Every reply is searched, also refusals and replies that nobody waits for. A notice belongs to the incarnation of the target and holds whatever the store lists. Another target takes over at once; the last one of a group is used until drain_ms after the announcement. A 421 announces nothing. On related paths, an aggregator names the targets that have announced since the request arrived, in answers to forwarded requests and to subqueries.

--- a/jackdawpass/connection/pool.py
+++ b/jackdawpass/connection/pool.py
@@ -18,6 +18,7 @@
 # than `limit` connections.
 ABORT_GRACE_SECONDS = 0.02
 
+OnReply = collections.abc.Callable[[dialect.HttpReply], None]
 OnConnection = collections.abc.Callable[[http_connection.HttpConnection | None], None]
 
 
@@ -145,13 +146,18 @@
         return None
 
     def abandon(
-        self, connection: http_connection.HttpConnection, at_once: bool = False
+        self,
+        connection: http_connection.HttpConnection,
+        at_once: bool = False,
+        on_reply: OnReply | None = None,
     ) -> None:
         """Abandon an exchange whose reply is no longer needed.
 
         If the reply arrives soon, keeping the connection until then is cheaper for the
         target than a new connection. With `at_once`, the connection is closed instead,
         which frees the place in the queue of a target that is full.
+
+        `on_reply` is called with the reply, without its body, if it arrives.
         """
         if at_once or self._linger_seconds <= 0:
             connection.abort()
@@ -162,6 +168,8 @@
             if timer.active():
                 timer.cancel()
             if isinstance(outcome, dialect.HttpReply):
+                if on_reply is not None:
+                    on_reply(outcome)
                 self.release(connection)
 
         connection.discard_reply(on_done)
--- a/jackdawpass/platform/headers.py
+++ b/jackdawpass/platform/headers.py
@@ -13,6 +13,8 @@
 SIGNATURE = b"x-response-stamp"
 # Present if the target did not run the request.
 NOT_RUN = b"x-not-executed"
+# "1" in the replies of a target that leaves.
+LEAVING = b"server-leaving"
 # Comma-separated signatures of the shards that an answer covers.
 SHARD_SIGNATURES = b"X-Part-Stamps"
 # Number of shards that an answer does not cover.
--- a/jackdawpass/platform/node_file.py
+++ b/jackdawpass/platform/node_file.py
@@ -50,10 +50,13 @@
     "limits.link_mbps": _parse_number,
     "limits.memory_mb": _parse_number,
     "bounds.grace_s": _parse_number,
+    "bounds.drain_ms": _parse_number,
     "bounds.retry_budget_ratio": _parse_number,
     "bounds.retry_window_s": _parse_number,
     "bounds.retry_budget_slack": _parse_number,
 }
+# Values of settings that may be missing.
+_DEFAULTS: dict[str, typing.Any] = {"bounds.drain_ms": 0.0}
 
 
 def parse(
@@ -71,6 +74,9 @@
         try:
             values[name] = convert(_look_up(document, name))
         except KeyError:
+            if name in _DEFAULTS:
+                values[name] = _DEFAULTS[name]
+                continue
             faults.append(errors.Fault(name, "is missing", "set it"))
         except ValueError as error:
             faults.append(errors.Fault(name, str(error), "correct it"))
@@ -93,6 +99,7 @@
                 slack=values["bounds.retry_budget_slack"],
                 window=values["bounds.retry_window_s"],
             ),
+            drain_seconds=values["bounds.drain_ms"] / 1000,
             memory_bytes=round(values["limits.memory_mb"] * 1024 * 1024),
         )
     )
--- a/jackdawpass/platform/target_dialect.py
+++ b/jackdawpass/platform/target_dialect.py
@@ -85,6 +85,17 @@
             )
         )
 
+    def decode_notices(
+        self, target: str, started: int, reply: dialect.HttpReply
+    ) -> tuple[model.TargetNotice, ...]:
+        """Return what a reply says about its target."""
+        # Another target, which now has the address, has replied.
+        if reply.status == _MISDIRECTED:
+            return ()
+        if (headers.LEAVING, b"1") not in reply.headers:
+            return ()
+        return (model.TargetNotice(target, started, leaving=True),)
+
     def encode_health(self) -> bytes:
         """Encode the HTTP request for a target's health."""
         return b"GET /health HTTP/1.1\r\nHost: target\r\n\r\n"
--- a/jackdawpass/process/channel.py
+++ b/jackdawpass/process/channel.py
@@ -108,6 +108,11 @@
         """Close the connections as they become idle."""
         self._pool.close()
 
+    def on_http_reply(
+        self, now: float, attempt: model.Attempt, reply: dialect.HttpReply
+    ) -> None:
+        """Do nothing: targets refuse work with the reason, and report their state."""
+
     def is_full(self) -> bool:
         """Return False: a full target gets fewer attempts by its limiter."""
         return False
--- a/jackdawpass/process/serving/forwarded_request.py
+++ b/jackdawpass/process/serving/forwarded_request.py
@@ -8,6 +8,7 @@
 from jackdawpass.connection import dialect, http_connection, ingress
 from jackdawpass.process import logs
 from jackdawpass.process.serving import aggregator_link, peer_wire
+from jackdawpass.request import model
 
 _logger = logs.get_logger(__name__)
 
@@ -40,6 +41,11 @@
     def on_version(self, version: int) -> None:
         """Record the configuration version of an answer."""
 
+    def on_notices(
+        self, now: float, notices: collections.abc.Iterable[model.TargetNotice]
+    ) -> None:
+        """Record what an aggregator has learned about targets."""
+
 
 class ForwardedRequest:
     """A request forwarded to an aggregator.
@@ -186,6 +192,9 @@
         report = peer_wire.decode_report(outcome)
         if report is not None:
             link.update_report(report)
+        notices = peer_wire.decode_notices(outcome)
+        if notices:
+            self._links.on_notices(clock.monotonic(), notices)
         if outcome.header(peer_wire.NOT_TAKEN) is not None:
             self._on_declined(is_repeat, outcome)
             return
--- a/jackdawpass/process/serving/forwarding.py
+++ b/jackdawpass/process/serving/forwarding.py
@@ -11,8 +11,10 @@
     aggregator_link,
     aggregators,
     forwarded_request,
+    notices,
     peer_wire,
 )
+from jackdawpass.request import model
 
 # How long stale aggregators are trusted before this instance checks the store itself: a
 # change has at least three seconds to come into force.
@@ -33,6 +35,8 @@
         The process's reactor.
     generator : random.Random
         Breaks ties between equally good aggregators.
+    on_notices : callable
+        Receives what aggregators have learned about targets.
     memory : ReplyMemory or None
         Memory for unfinished replies.
     """
@@ -41,10 +45,12 @@
         self,
         reactor: typing.Any,
         generator: random.Random,
+        on_notices: notices.OnNotices,
         memory: reply_limits.ReplyMemory | None = None,
     ) -> None:
         self._reactor = reactor
         self._random = generator
+        self._on_notices = on_notices
         self._memory = memory
         self._links: dict[str, aggregator_link.AggregatorLink] = {}
         self._local: dict[str, aggregators.Member] = {}
@@ -122,6 +128,12 @@
         """Record the configuration version of an answer."""
         self._version = max(self._version, version)
 
+    def on_notices(
+        self, now: float, found: collections.abc.Iterable[model.TargetNotice]
+    ) -> None:
+        """Record what an aggregator has learned about targets."""
+        self._on_notices(now, found)
+
     def choose(
         self, tried: collections.abc.Collection[str]
     ) -> aggregator_link.AggregatorLink | None:
--- a/jackdawpass/process/serving/front.py
+++ b/jackdawpass/process/serving/front.py
@@ -92,8 +92,11 @@
             self._on_suspected_partition,
             self._metrics,
             memory,
+            options.drain_seconds,
+        )
+        self._forwarder = forwarding.Forwarder(
+            reactor, generator, self._gateway.notices.on_notices, memory
         )
-        self._forwarder = forwarding.Forwarder(reactor, generator, memory)
         self._callers = handlers.CallerHandler(
             reactor, adapter, self._gateway, self._forwarder, self
         )
--- a/jackdawpass/process/serving/gateway.py
+++ b/jackdawpass/process/serving/gateway.py
@@ -8,7 +8,7 @@
 import typing
 
 from jackdawpass import clock
-from jackdawpass.connection import dialect, ingress, reply_limits
+from jackdawpass.connection import ingress, reply_limits
 from jackdawpass.process import shares
 from jackdawpass.process.serving import (
     aggregators,
@@ -18,6 +18,7 @@
     forwarded_repeats,
     group_router,
     immediate_refusals,
+    notices,
     peer_wire,
     peers,
     plans,
@@ -71,23 +72,26 @@
         Metrics to update.
     memory : ReplyMemory or None
         Memory for unfinished replies.
+    drain_seconds : float
+        Time for which a leaving target still serves requests.
     """
 
     def __init__(
         self,
         reactor: typing.Any,
         zone: str,
-        wire: dialect.TargetDialect,
-        subquery_wire: dialect.TargetDialect,
+        wire: notices.Wire,
+        subquery_wire: notices.Wire,
         limits: repeats.RepeatLimits,
         generator: random.Random,
         on_suspected_partition: collections.abc.Callable[[], None],
         metrics: prometheus_metrics.PrometheusMetrics,
         memory: reply_limits.ReplyMemory | None = None,
+        drain_seconds: float = 0.0,
     ) -> None:
         self._reactor = reactor
         self._random = generator
-        self._targets = targets.Targets(zone, generator)
+        self._targets = targets.Targets(zone, generator, drain_seconds)
         self._peers = peers.Peers(zone, generator)
         self._budgets = repeats.Budgets(limits)
         self._throttles = throttle.RouteThrottles(generator)
@@ -103,9 +107,15 @@
         self._refusals = refusal_policy.RefusalPolicy(
             self._targets, self._throttles, self._durations
         )
-        self._sender = sender.Sender(reactor, wire, self._feedback, memory=memory)
+        self._notices = notices.NoticeBoard(
+            self._targets, lambda target: self._sender.fail_unsent(target)
+        )
+        on_notices = self._notices.on_notices
+        self._sender = sender.Sender(
+            reactor, wire, self._feedback, on_notices, memory=memory
+        )
         self._subquery_sender = sender.Sender(
-            reactor, subquery_wire, self._feedback, linger_seconds=0.0, memory=memory
+            reactor, subquery_wire, self._feedback, on_notices, 0.0, memory
         )
         self._dispatcher = sender.Dispatcher(self._sender, self._subquery_sender)
         self._table: routes.RoutingTable | None = None
@@ -119,6 +129,11 @@
         """Routing table in force; None before the first one."""
         return self._table
 
+    @property
+    def notices(self) -> notices.NoticeBoard:
+        """What targets have said about themselves in their replies."""
+        return self._notices
+
     def apply_table(self, table: routes.RoutingTable) -> None:
         """Put a routing table in force if it is newer than the current one."""
         if self._table is not None and table.version <= self._table.version:
@@ -157,7 +172,7 @@
         """Update the gauges that are computed on demand."""
         states = self._targets.states.values()
         self._metrics.set("targets", len(states))
-        self._metrics.set("leaving_targets", sum(s.listed.leaving for s in states))
+        self._metrics.set("leaving_targets", sum(s.leaving for s in states))
         self._metrics.set("avoided_targets", sum(s.avoided(now) for s in states))
         least = self._budgets.least_remaining_share(now, self._instances)
         self._metrics.set("least_budget_ratio", least)
--- a/jackdawpass/process/serving/peer_handler.py
+++ b/jackdawpass/process/serving/peer_handler.py
@@ -76,8 +76,9 @@
     ) -> ingress.Exchange:
         """Answer a ping, or serve a forwarded request or a subquery."""
         self._instance.follow_targets()
+        on_response = self._add_report(clock.monotonic(), on_response)
         if request.target == peer_wire.PING_PATH:
-            on_response(self._with_report(ingress.OutgoingResponse(200, (), b"")))
+            on_response(ingress.OutgoingResponse(200, (), b""))
             return ingress.FinishedExchange()
         decoded = self._wire.decode_request(request)
         if isinstance(decoded, result.Failure) or not self._accepts(request):
@@ -87,7 +88,7 @@
             return self._serve_subquery(decoded.unwrap(), subquery, on_response)
 
         def on_outcome(outcome: caller_requests.Outcome) -> None:
-            on_response(self._with_report(self._wire.encode_outcome(outcome)))
+            on_response(self._wire.encode_outcome(outcome))
 
         caller_request = dataclasses.replace(
             decoded.unwrap(),
@@ -120,9 +121,9 @@
     ) -> ingress.Exchange:
         def on_outcome(outcome: caller_requests.Outcome) -> None:
             if isinstance(outcome, model.Answer):
-                on_response(self._with_report(subqueries.encode_answer(outcome)))
+                on_response(subqueries.encode_answer(outcome))
             else:
-                on_response(self._with_report(self._wire.encode_outcome(outcome)))
+                on_response(self._wire.encode_outcome(outcome))
 
         if not self._instance.stopping:
             serving = self._gateway.serve_subquery(request, subquery, on_outcome)
@@ -135,7 +136,7 @@
         on_response: ingress.OnResponse,
         headers: ingress.Headers = ((peer_wire.NOT_TAKEN, b"1"),),
     ) -> ingress.Exchange:
-        on_response(self._with_report(ingress.OutgoingResponse(503, headers, b"")))
+        on_response(ingress.OutgoingResponse(503, headers, b""))
         return ingress.FinishedExchange()
 
     def _accepts(self, request: ingress.IncomingRequest) -> bool:
@@ -143,11 +144,23 @@
         seen = peer_wire.decode_seen_version(request)
         return self._instance.synced and self.report.version >= seen
 
-    def _with_report(
-        self, response: ingress.OutgoingResponse
-    ) -> ingress.OutgoingResponse:
-        headers = response.headers + peer_wire.encode_report(self.report)
-        return ingress.OutgoingResponse(response.status, headers, response.body)
+    def _add_report(
+        self, arrived: float, on_response: ingress.OnResponse
+    ) -> ingress.OnResponse:
+        """Return a callback that adds the report and the notices since the arrival.
+
+        The notices in replies of targets to the request itself are among them.
+        """
+
+        def respond(response: ingress.OutgoingResponse) -> None:
+            notices = self._gateway.notices.heard_since(arrived)
+            headers = response.headers + peer_wire.encode_report(self.report)
+            headers += peer_wire.encode_notices(notices)
+            on_response(
+                ingress.OutgoingResponse(response.status, headers, response.body)
+            )
+
+        return respond
 
 
 def _encode_review(review: forwarded_repeats.Review) -> ingress.Headers:
--- a/jackdawpass/process/serving/peer_wire.py
+++ b/jackdawpass/process/serving/peer_wire.py
@@ -3,8 +3,11 @@
 import collections.abc
 import dataclasses
 import enum
+import itertools
+import urllib.parse
 
 from jackdawpass.connection import dialect, ingress
+from jackdawpass.request import model
 
 # Configuration version: in a request the newest one seen, in a reply the one in force.
 VERSION = b"jackdawpass-version"
@@ -30,6 +33,9 @@
 FANOUT_DIGEST = b"jackdawpass-fanout"
 # Milliseconds after which a partial reply is wanted.
 ANSWER_WITHIN_MS = b"jackdawpass-answer-within-ms"
+# In a reply the incarnations of targets that have announced since the request that they
+# leave.
+LEAVING = b"jackdawpass-leaving"
 HEADERS = frozenset(
     (
         VERSION,
@@ -42,9 +48,13 @@
         SHARDS,
         FANOUT_DIGEST,
         ANSWER_WITHIN_MS,
+        LEAVING,
     )
 )
 
+# Notices in one reply at most, so that its head stays within the receiver's limit.
+MAX_NOTICES = 256
+
 PING_PATH = b"/-/ping"
 PING = b"GET " + PING_PATH + b" HTTP/1.1\r\nHost: peer\r\n\r\n"
 
@@ -155,6 +165,29 @@
         return None
 
 
+def encode_notices(
+    notices: collections.abc.Iterable[model.TargetNotice],
+) -> ingress.Headers:
+    """Return the header that names leaving targets; none if there are none."""
+    entries = [
+        f"{urllib.parse.quote(notice.target, safe='')}={notice.started}"
+        for notice in itertools.islice(notices, MAX_NOTICES)
+        if notice.leaving
+    ]
+    return ((LEAVING, ",".join(entries).encode()),) if entries else ()
+
+
+def decode_notices(reply: dialect.HttpReply) -> tuple[model.TargetNotice, ...]:
+    """Return the leaving targets that a reply names, without malformed entries."""
+    notices = []
+    for entry in (reply.header(LEAVING) or b"").decode("latin-1").split(","):
+        name, _, started = entry.partition("=")
+        if name and started.isascii() and started.isdigit():
+            target = urllib.parse.unquote(name)
+            notices.append(model.TargetNotice(target, int(started), leaving=True))
+    return tuple(notices)
+
+
 def caller_headers(headers: ingress.Headers) -> ingress.Headers:
     """Return the headers for the caller, without those between instances."""
     dropped = HEADERS | ingress.CONNECTION_HEADERS | {b"content-length"}
--- a/jackdawpass/process/serving/sender.py
+++ b/jackdawpass/process/serving/sender.py
@@ -6,7 +6,7 @@
 from jackdawpass import clock
 from jackdawpass.connection import dialect, pool, reply_limits
 from jackdawpass.process import submission
-from jackdawpass.process.serving import targets
+from jackdawpass.process.serving import notices, targets
 from jackdawpass.request import model, runner
 
 # How long the reply to a cancelled attempt may take before its connection is closed.
@@ -44,14 +44,16 @@
         self,
         state: targets.TargetState,
         connections: pool.Pool,
-        wire: dialect.TargetDialect,
+        wire: notices.Wire,
         observer: Observer,
+        on_notices: notices.OnNotices,
     ) -> None:
         self._state = state
         self._incarnation = state.listed.incarnation
         self._pool = connections
         self._wire = wire
         self._observer = observer
+        self._on_notices = on_notices
         self._unfinished: set[submission.Submission] = set()
 
     @property
@@ -83,6 +85,15 @@
         self._state.in_flight -= 1
         self._observer.on_attempt_end(now, ended.attempt, end)
 
+    def on_http_reply(
+        self, now: float, attempt: model.Attempt, reply: dialect.HttpReply
+    ) -> None:
+        """Pass on the notices in a reply."""
+        started = self._state.listed.started
+        found = self._wire.decode_notices(attempt.target, started, reply)
+        if found:
+            self._on_notices(now, found)
+
     def is_full(self) -> bool:
         """Return whether the target has recently refused an attempt."""
         return self._state.is_full(clock.monotonic())
@@ -91,10 +102,12 @@
         """Change the maximum number of connections."""
         self._pool.set_limit(limit)
 
-    def fail_unsent(self) -> None:
-        """Fail the attempts that have not been sent to the target."""
-        for unsent in [unsent for unsent in self._unfinished if not unsent.sent]:
-            unsent.fail(_REMOVED)
+    def fail_unsent(self) -> int:
+        """Fail the attempts that have not been sent; return their number."""
+        unsent = [each for each in self._unfinished if not each.sent]
+        for submitted in unsent:
+            submitted.fail(_REMOVED)
+        return len(unsent)
 
     def close(self) -> None:
         """Fail unsent attempts; close connections as they become idle."""
@@ -113,6 +126,8 @@
         Encodes sub-requests and decodes replies.
     observer : Observer
         Receives the result of each attempt.
+    on_notices : callable
+        Receives the notices in each reply, also in those that nobody waits for.
     linger_seconds : float
         How long the reply to a cancelled attempt may take before its connection is
         closed.
@@ -123,14 +138,16 @@
     def __init__(
         self,
         reactor: typing.Any,
-        wire: dialect.TargetDialect,
+        wire: notices.Wire,
         observer: Observer,
+        on_notices: notices.OnNotices,
         linger_seconds: float = LINGER_SECONDS,
         memory: reply_limits.ReplyMemory | None = None,
     ) -> None:
         self._reactor = reactor
         self._wire = wire
         self._observer = observer
+        self._on_notices = on_notices
         self._linger_seconds = linger_seconds
         self._memory = memory
         self._channels: dict[str, _Channel] = {}
@@ -158,6 +175,11 @@
         """Return whether there is a channel to a target."""
         return target in self._channels
 
+    def fail_unsent(self, target: str) -> int:
+        """Fail the attempts not sent to a target yet; return their number."""
+        channel = self._channels.get(target)
+        return 0 if channel is None else channel.fail_unsent()
+
     def submit(
         self, attempt: model.Attempt, query: bytes, listener: runner.Listener
     ) -> runner.AttemptHandle:
@@ -185,7 +207,9 @@
             CONNECT_TIMEOUT_SECONDS,
             self._memory,
         )
-        return _Channel(state, connections, self._wire, self._observer)
+        return _Channel(
+            state, connections, self._wire, self._observer, self._on_notices
+        )
 
 
 class Dispatcher:
--- a/jackdawpass/process/serving/settings.py
+++ b/jackdawpass/process/serving/settings.py
@@ -47,6 +47,8 @@
         Limits on the repeats of all instances together.
     memory_bytes : int
         Memory that the process may use.
+    drain_seconds : float
+        Time for which a target that leaves still serves requests.
     metrics_port : int
         Port of the metrics page; 0 for none.
     log_lines_per_second, log_errors_per_second : float
@@ -63,6 +65,7 @@
     stop_seconds: float
     repeats: repeats.RepeatLimits
     memory_bytes: int
+    drain_seconds: float = 0.0
     metrics_port: int = 9464
     log_lines_per_second: float = 40.0
     log_errors_per_second: float = 40.0
--- a/jackdawpass/process/serving/subqueries.py
+++ b/jackdawpass/process/serving/subqueries.py
@@ -80,6 +80,12 @@
             )
         )
 
+    def decode_notices(
+        self, target: str, started: int, reply: dialect.HttpReply
+    ) -> tuple[model.TargetNotice, ...]:
+        """Return what the other instance has learned about targets."""
+        return peer_wire.decode_notices(reply)
+
     def encode_health(self) -> bytes:
         """Return the HTTP request for an instance's state."""
         return peer_wire.PING
--- a/jackdawpass/process/serving/targets.py
+++ b/jackdawpass/process/serving/targets.py
@@ -5,6 +5,7 @@
 import math
 import random
 
+from jackdawpass.process.serving import leaving_targets
 from jackdawpass.request import model
 
 # Weight of a new observation in the moving averages of a target. An instance sees few
@@ -78,10 +79,17 @@
         self._avoid_until = -math.inf
         self._full_until = -math.inf
         self._misdirected_until = -math.inf
+        self._usable_until = math.inf
+
+    @property
+    def leaving(self) -> bool:
+        """True if the store or the target itself has announced that it leaves."""
+        return self.listed.leaving or self._usable_until < math.inf
 
     def usable(self, now: float) -> bool:
         """Return whether attempts may be sent to the target."""
-        return not self.listed.leaving and now >= self._misdirected_until
+        is_draining = self.listed.leaving or now >= self._usable_until
+        return not is_draining and now >= self._misdirected_until
 
     def avoided(self, now: float) -> bool:
         """Return whether the target has recently failed too often."""
@@ -132,6 +140,10 @@
         """Record that another target answered at the address."""
         self._misdirected_until = now + MISDIRECTED_SECONDS
 
+    def set_usable_until(self, at: float) -> None:
+        """Set the time at which the target stops serving; infinite by default."""
+        self._usable_until = at
+
     def on_failure(self, now: float) -> None:
         """Record a failed attempt."""
         slowness, _ = self._current(now)
@@ -164,13 +176,24 @@
         Availability zone of this instance.
     generator : random.Random
         Chooses among equal targets.
+    drain_seconds : float
+        Time after its announcement for which a leaving target still serves requests. It
+        gets those that no other target can take.
     """
 
-    def __init__(self, zone: str, generator: random.Random) -> None:
+    def __init__(
+        self, zone: str, generator: random.Random, drain_seconds: float = 0.0
+    ) -> None:
         self._zone = zone
         self._random = generator
         self._states: dict[str, TargetState] = {}
         self._groups: dict[str, tuple[TargetState, ...]] = {}
+        self._announcements = leaving_targets.LeavingTargets(drain_seconds)
+
+    @property
+    def announcements(self) -> leaving_targets.LeavingTargets:
+        """Targets that have announced in a reply that they leave."""
+        return self._announcements
 
     @property
     def states(self) -> collections.abc.Mapping[str, TargetState]:
@@ -188,11 +211,30 @@
             if state is None or state.listed.incarnation != target.incarnation:
                 state = TargetState(target, now)
             state.listed = target
+            state.set_usable_until(
+                self._announcements.usable_until(name, target.started)
+            )
             states[name] = state
             groups.setdefault(target.group, []).append(state)
         self._states = states
         self._groups = {name: tuple(each) for name, each in groups.items()}
 
+    def on_leaving(self, now: float, name: str, started: int) -> bool:
+        """Record that a target leaves; return whether this was unknown."""
+        is_first = self._announcements.add(now, name, started)
+        state = self._states.get(name)
+        if state is not None and state.listed.started == started:
+            state.set_usable_until(self._announcements.usable_until(name, started))
+        return is_first
+
+    def has_alternative(self, now: float, name: str) -> bool:
+        """Return whether another target, which stays, can replace a target."""
+        state = self._states.get(name)
+        return state is not None and any(
+            each is not state and each.usable(now) and not each.leaving
+            for each in self._groups.get(state.listed.group, ())
+        )
+
     def forget_failures(self, zone: str) -> None:
         """Forget the failures of the targets of a zone that is reachable again."""
         for state in self._states.values():
@@ -204,9 +246,9 @@
         return self.has_in_zone(now, group, self._zone)
 
     def has_in_zone(self, now: float, group: str, zone: str) -> bool:
-        """Return whether a group has a usable target in a zone."""
+        """Return whether a group has a usable target in a zone, which stays."""
         return any(
-            state.listed.zone == zone and state.usable(now)
+            state.listed.zone == zone and state.usable(now) and not state.leaving
             for state in self._groups.get(group, ())
         )
 
@@ -235,13 +277,12 @@
     ) -> TargetState | None:
         """Return the best usable target of a group, or None if there is none.
 
-        Targets in `avoided_zones` are chosen only if there are no others.
+        Leaving targets are chosen only if the group has no others, and targets in
+        `avoided_zones` only if all candidates are there.
         """
-        candidates = [
-            state
-            for state in self._groups.get(group, ())
-            if state.usable(now) and state.listed.name not in excluded
-        ]
+        usable = [s for s in self._groups.get(group, ()) if s.usable(now)]
+        usable = [s for s in usable if not s.leaving] or usable
+        candidates = [s for s in usable if s.listed.name not in excluded]
         if not candidates:
             return None
         if avoided_zones:
--- a/jackdawpass/process/submission.py
+++ b/jackdawpass/process/submission.py
@@ -67,6 +67,11 @@
     ) -> None:
         """Record the end; called exactly once, before the listener is notified."""
 
+    def on_http_reply(
+        self, now: float, attempt: model.Attempt, reply: dialect.HttpReply
+    ) -> None:
+        """Inspect a reply to an attempt, which may have ended before."""
+
     def is_full(self) -> bool:
         """Return whether the target has recently refused an attempt."""
 
@@ -123,7 +128,9 @@
         if self._connection is not None:
             # A late reply on this connection must not reach another request.
             age = clock.monotonic() - self._sent_at
-            self._pool.abandon(self._connection, self._owner.is_full())
+            self._pool.abandon(
+                self._connection, self._owner.is_full(), self._inspect_reply
+            )
             self._connection = None
             self._send_cancellation()
         self._end(Cancelled(age, self._is_accepted))
@@ -184,6 +191,7 @@
         if isinstance(outcome, http_connection.ExchangeError):
             self.fail(_CONNECTION_LOST)
             return
+        self._inspect_reply(outcome)
         decoded = self._wire.decode_run(self._attempt, outcome)
         reply = decoded.value_or(None)
         if reply is not None:
@@ -199,6 +207,9 @@
             self._pool.release(connection)
         self.fail(failure)
 
+    def _inspect_reply(self, reply: dialect.HttpReply) -> None:
+        self._owner.on_http_reply(clock.monotonic(), self._attempt, reply)
+
     def _end(self, end: End) -> None:
         was_started = self._state is not _State.QUEUED
         self._state = _State.ENDED
--- a/jackdawpass/request/model.py
+++ b/jackdawpass/request/model.py
@@ -167,6 +167,23 @@
     retry_after: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetNotice:
+    """What a reply says about the availability of a target.
+
+    Attributes
+    ----------
+    started : int
+        Distinguishes incarnations of the target.
+    leaving : bool
+        True when the target stops soon and wants no new work.
+    """
+
+    target: str
+    started: int
+    leaving: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class MissingShard:
     """A shard that an answer does not cover."""
--- a/jackdawpass/standins/listed_target.py
+++ b/jackdawpass/standins/listed_target.py
@@ -50,10 +50,13 @@
         the request's id).
     slow_ms : float
         Added to the running time of each request.
+    leaving : bool
+        Every response says that the target leaves.
     """
 
     mode: str = ""
     slow_ms: float = 0.0
+    leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,7 +129,7 @@
             self._handle_control(connection, request)
             return
         request_id = request.headers.get("x-attempt-id", "")
-        identity = {"X-Attempt-Id": request_id}
+        identity = {"X-Attempt-Id": request_id} | self._notices()
         expected_instance = request.headers.get("x-expect-instance", self._options.name)
         if expected_instance != self._options.name:
             connection.write(_encode_response(421, identity, b""))
@@ -158,7 +161,7 @@
         headers = {
             "X-Attempt-Id": request_id,
             "X-Response-Stamp": f"{self._options.group}:{request_id}:{len(self._runs)}",
-        }
+        } | self._notices()
         options = self._options
         body = b"".join(group_records(options.group, request.path, options.records))
         mode = self._faults.mode
@@ -188,6 +191,9 @@
                 second_response = _encode_response(200, headers, body)
                 self._reactor.callLater(0.005, connection.write, second_response)
 
+    def _notices(self) -> dict[str, str]:
+        return {"Server-Leaving": "1"} if self._faults.leaving else {}
+
     def _handle_control(
         self, connection: http_server.ServerConnection, request: http_server.Request
     ) -> None:
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -32,12 +32,15 @@
 memory_mb = 256
 [bounds]
 grace_s = 6
+drain_ms = {drain_ms}
 retry_budget_ratio = 0.2
 retry_window_s = 10
 retry_budget_slack = 129
 [platform]
 address = "127.0.0.1:{store}"
 """
+# Time for which a target that leaves still serves requests.
+DRAIN_MS = 3000
 
 
 class Front:
@@ -196,6 +199,7 @@
                 ready=ready,
                 peers=ports.reserve(),
                 store=link.port,
+                drain_ms=DRAIN_MS,
             )
         )
         self.fronts[name] = Front(path, port, ready)
--- a/tests/connection/test_pool.py
+++ b/tests/connection/test_pool.py
@@ -30,9 +30,9 @@
 class Network:
     """Network that answers the connects of a pool."""
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, linger_seconds: float = 0.0) -> None:
         self.reactor = MemoryReactorClock()
-        self.pool = pool.Pool(self.reactor, "127.0.0.1", 1, limit)
+        self.pool = pool.Pool(self.reactor, "127.0.0.1", 1, limit, linger_seconds)
         self.links: list[tuple[typing.Any, Transport]] = []
         self.taken: list[http_connection.HttpConnection | None] = []
 
@@ -106,6 +106,21 @@
     assert not network.pending
 
 
+def test_reply_to_an_abandoned_exchange_is_reported_without_body() -> None:
+    """Guards against headers about a target that are lost with an unwanted reply."""
+    network = Network(limit=1, linger_seconds=0.25)
+    network.acquire()
+    network.connect()
+    connection = network.taken.pop()
+    assert connection is not None
+    connection.send(b"GET / HTTP/1.1\r\n\r\n", lambda _: None)
+    replies: list[dialect.HttpReply] = []
+    network.pool.abandon(connection, on_reply=replies.append)
+    connection.dataReceived(REPLY.replace(b"\r\n\r\n", b"\r\nx-a: 1\r\n\r\n"))
+    assert [(reply.header(b"x-a"), reply.body) for reply in replies] == [(b"1", b"")]
+    assert network.pool.idle == 1
+
+
 def test_failed_connect_refuses_all_waiting_requests() -> None:
     """Guards against requests that wait for a dead target until their deadline."""
     network = Network(limit=1)
--- a/tests/front_mutations.py
+++ b/tests/front_mutations.py
@@ -120,8 +120,8 @@
     mutation.Mutation(
         "front: leaving target",
         "jackdawpass/process/serving/targets.py",
-        "return not self.listed.leaving and now >= self._misdirected_until",
-        "return now >= self._misdirected_until",
+        "self.listed.leaving or now >= self._usable_until",
+        "now >= self._usable_until",
         "tests/platform/test_front_process.py",
     ),
     mutation.Mutation(
@@ -236,8 +236,8 @@
     mutation.Mutation(
         "soak: no work for a target that left",
         "jackdawpass/process/serving/targets.py",
-        "return not self.listed.leaving and now >= self._misdirected_until",
-        "return now >= self._misdirected_until",
+        "self.listed.leaving or now >= self._usable_until",
+        "now >= self._usable_until",
         "tests/soak/test_run.py",
     ),
     mutation.Mutation(
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -12,6 +12,8 @@
 from tests import rig
 
 HOST = "shop.example"
+# Short, so that tests see requests after it.
+DRAIN_MS = 500
 
 
 @dataclasses.dataclass(frozen=True)
@@ -153,6 +155,7 @@
                 ready=ready,
                 peers=ports.reserve(),
                 store=store_port or self.store.port,
+                drain_ms=DRAIN_MS,
             )
         )
         process = self._processes.start_plain("front", "--settings", str(path))
--- a/tests/platform/test_target_dialect.py
+++ b/tests/platform/test_target_dialect.py
@@ -51,6 +51,21 @@
     assert body == b"x"
 
 
+@pytest.mark.parametrize("status", [200, 429, 500, 503, 504])
+def test_target_announces_in_any_reply_that_it_leaves(status: int) -> None:
+    """Guards against an announcement that is missed in a failure or a refusal."""
+    notices = WIRE.decode_notices("i-1", 7, reply(status, server_leaving="1"))
+    assert notices == (model.TargetNotice("i-1", 7, leaving=True),)
+
+
+@pytest.mark.parametrize(
+    ("status", "headers"), [(421, {"server_leaving": "1"}), (200, {})]
+)
+def test_other_replies_announce_nothing(status: int, headers: dict[str, str]) -> None:
+    """Guards against an announcement of the target that now has the address."""
+    assert not WIRE.decode_notices("i-1", 7, reply(status, **headers))
+
+
 def test_signed_success_is_returned_unchanged() -> None:
     """Guards against changing the reply of a target."""
     decoded = WIRE.decode_run(attempt(), reply(200, x_response_stamp="s", etag="e"))
--- a/tests/platform/test_tier_process.py
+++ b/tests/platform/test_tier_process.py
@@ -96,6 +96,29 @@
     assert forwarder.ready()
 
 
+def test_announcement_passed_on_by_an_aggregator_is_remembered(zone: Zone) -> None:
+    """Guards against direct requests to a target that an aggregator knows to leave."""
+    forwarder, deployment = zone.forwarders[0], zone.deployment
+    rig.wait_for(lambda: _ready_links(forwarder) >= 2, "both aggregators are ready")
+    deployment.inject_faults(deployment.targets["s0-a"], leaving=True)
+    rig.wait_for(
+        lambda: (
+            _statuses(forwarder, "/lookup/x", 1) == [200]
+            and any('"target_leaves"' in line for line in forwarder.process.lines)
+        ),
+        "the announcement reaches the forwarding front",
+    )
+    for front in zone.aggregators:
+        front.process.signal(signal.SIGKILL)
+    rig.wait_for(
+        lambda: _statuses(forwarder, "/lookup/x", 1) == [200],
+        "the front queries targets itself",
+    )
+    runs = len(deployment.runs("s0-a"))
+    assert _statuses(forwarder, "/lookup/x", 20) == [200] * 20
+    assert len(deployment.runs("s0-a")) == runs
+
+
 def test_requests_survive_frozen_aggregators(zone: Zone) -> None:
     """Guards against requests that wait for a frozen instance."""
     forwarder = zone.forwarders[0]
--- a/tests/process/serving/test_forwarding.py
+++ b/tests/process/serving/test_forwarding.py
@@ -40,7 +40,8 @@
     def __init__(self, monkeypatch: pytest.MonkeyPatch, names: str) -> None:
         self.reactor = MemoryReactorClock()
         monkeypatch.setattr(clock, "monotonic", self.reactor.seconds)
-        self.forwarder = forwarding.Forwarder(self.reactor, random.Random(1))
+        generator = random.Random(1)
+        self.forwarder = forwarding.Forwarder(self.reactor, generator, lambda *_: None)
         self.answers: list[ingress.OutgoingResponse] = []
         self.fallbacks = 0
         self.links: dict[int, list[tuple[typing.Any, Transport]]] = {}
--- a/tests/process/serving/test_handlers.py
+++ b/tests/process/serving/test_handlers.py
@@ -5,7 +5,8 @@
 import pytest
 from returns import result
 
-from jackdawpass.connection import ingress
+from jackdawpass import clock
+from jackdawpass.connection import dialect, ingress
 from jackdawpass.process.serving import (
     caller_requests,
     forwarded_repeats,
@@ -14,6 +15,7 @@
     peer_wire,
     timing,
 )
+from jackdawpass.request import model
 from jackdawpass.version import routes
 
 FANOUT_DIGEST = "s7"
@@ -57,10 +59,18 @@
         return b""
 
 
+class FakeNotices:
+    """Notice of one target, received at the time 1.0."""
+
+    def heard_since(self, at: float) -> tuple[model.TargetNotice, ...]:
+        return (model.TargetNotice("t", 3, leaving=True),) if at <= 1.0 else ()
+
+
 class FakeGateway:
     """Gateway that serves every request at once."""
 
     def __init__(self) -> None:
+        self.notices = FakeNotices()
         self.table: routes.RoutingTable | None = routes.RoutingTable(
             7, (), (), routes.CallerLimits()
         )
@@ -219,6 +229,18 @@
     assert not peer.gateway.served
 
 
+@pytest.mark.parametrize(("arrived", "is_named"), [(0.5, True), (1.5, False)])
+def test_reply_names_targets_that_announced_since_the_request(
+    peer: PeerHarness, monkeypatch: pytest.MonkeyPatch, arrived: float, is_named: bool
+) -> None:
+    """Guards against an answer of a leaving target that is passed on as any other."""
+    monkeypatch.setattr(clock, "monotonic", lambda: arrived)
+    headers = peer.send().headers
+    reply = dialect.HttpReply(200, b"", headers)
+    assert bool(peer_wire.decode_notices(reply)) == is_named
+    assert peer_wire.LEAVING not in dict(peer_wire.caller_headers(headers))
+
+
 def test_subquery_of_the_same_fanout_digest_is_served(peer: PeerHarness) -> None:
     """Guards against a subquery that is served as a complete request."""
     assert peer.send_subquery() is None
--- a/tests/process/serving/test_subqueries.py
+++ b/tests/process/serving/test_subqueries.py
@@ -88,6 +88,28 @@
     assert set(merged_again.top(4).signatures) == {"s.3", "s.5"}
 
 
+def test_notices_survive_a_round_trip(
+    subquery_dialect: subqueries.SubqueryDialect,
+) -> None:
+    """Guards against another target, or incarnation, than the one that leaves."""
+    notices = tuple(
+        model.TargetNotice(name, started, leaving=True)
+        for name, started in (("i-1", 0), ("a,b=c%", 1_764_000_000_000))
+    )
+    reply = dialect.HttpReply(200, b"", peer_wire.encode_notices(notices))
+    assert subquery_dialect.decode_notices("instance/b0", 0, reply) == notices
+    assert not peer_wire.encode_notices(())
+
+
+@pytest.mark.parametrize("value", [b"", b"i-1", b"i-1=", b"=1", b"i-1=-1", b"i-1=\xb2"])
+def test_malformed_notice_is_ignored(
+    subquery_dialect: subqueries.SubqueryDialect, value: bytes
+) -> None:
+    """Guards against an exception, or a target that is not used by mistake."""
+    reply = dialect.HttpReply(200, b"", ((peer_wire.LEAVING, value),))
+    assert not subquery_dialect.decode_notices("instance/b0", 0, reply)
+
+
 @pytest.mark.parametrize(
     ("status", "headers", "failure"),
     [
