End an exchange whose reply has an impossible status

Operators of a similar system saw a status of 000 reach a client. Here a caller got 600 and 999 unchanged, with the target's signature, if its request runs at most once; 000 and 099 let it wait until its deadline.

Cause: the parser accepts any three digits. Statuses under 200 were skipped as interim replies, and the upper end was not checked.

Evidence: on a connection in memory, 000 gave the event 'interim' and 999 'reply'; both are 'loss' now.

Change: a status outside 100 to 599 is malformed and closes the connection.

--- a/jackdawpass/connection/http_connection.py
+++ b/jackdawpass/connection/http_connection.py
@@ -41,6 +41,8 @@
 # A target may close an idle connection when its idle timeout ends. The last part of
 # the timeout is not used, because a request sent then could race with the close.
 IDLE_MARGIN_SECONDS = 0.5
+# Other three-digit statuses have no meaning in HTTP.
+_STATUSES = range(100, 600)
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
 
@@ -241,9 +243,14 @@
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Determine how the body ends (called by the parser)."""
+        """Check the status, determine how the body ends (called by the parser).
+
+        The parser reports an exception as an error, which ends the exchange.
+        """
         if self._complete:
             return
+        if self._parser.get_status_code() not in _STATUSES:
+            raise ValueError("the status of the reply is not an HTTP status")
         self._in_body = True
         self._raw_bytes = 0
         names = {name for name, _ in self._headers}
--- a/jackdawpass/standins/listed_target.py
+++ b/jackdawpass/standins/listed_target.py
@@ -46,8 +46,8 @@
         request has run), ``unframed`` (no ``Content-Length``), ``cut`` (half of the
         body), ``cut_head`` (half of the head, then a close), ``extra`` (a second
         response follows shortly after), ``copy`` (a copy of the previous response of
-        the connection precedes the response) or ``anonymous_copy`` (the same without
-        the request's id).
+        the connection precedes the response), ``anonymous_copy`` (the same without
+        the request's id) or ``status_`` with the three digits of a status.
     slow_ms : float
         Added to the running time of each request.
     leaving : bool
@@ -169,6 +169,9 @@
             connection.reset()
         elif mode == "error":
             connection.write(_encode_response(500, headers, b"failed"))
+        elif mode.startswith("status_"):
+            status = mode.removeprefix("status_")
+            connection.write(_encode_response(status, headers, body))
         elif mode == "cut":
             response = _encode_response(200, headers, body)
             connection.write(response[: len(response) - len(body) // 2])
@@ -204,7 +207,7 @@
 
 
 def _encode_response(
-    status: int,
+    status: int | str,
     headers: collections.abc.Mapping[str, str],
     body: bytes,
     framed: bool = True,
--- a/tests/connection/test_http_connection.py
+++ b/tests/connection/test_http_connection.py
@@ -116,6 +116,13 @@
     assert link.bodies == [b"first"] and not link.connection.open
 
 
+@pytest.mark.parametrize("status", [b"000", b"001", b"099", b"600", b"999"])
+def test_impossible_status_ends_the_exchange(link: Link, status: bytes) -> None:
+    """Guards against a status without meaning that is taken for a reply."""
+    link.receive(b"HTTP/1.1 " + status + b" X\r\nContent-Length: 2\r\n\r\n{}")
+    assert link.events == ["loss"] and not link.connection.open
+
+
 @pytest.mark.parametrize("status", [b"101 Switching Protocols", b"200 OK"])
 def test_protocol_change_ends_the_exchange(link: Link, status: bytes) -> None:
     """Guards against bytes of another protocol that are taken for a reply."""
--- a/tests/platform/test_front_process.py
+++ b/tests/platform/test_front_process.py
@@ -91,6 +91,7 @@
         "unframed",
         "copy",
         "anonymous_copy",
+        "status_000",
     ],
 )
 def test_faulty_replica_does_not_affect_answers(
@@ -133,6 +134,22 @@
     assert front.request(path, "r1", 800, method).status in (502, 504)
 
 
+@pytest.mark.parametrize("status", ["000", "099", "600", "999"])
+@pytest.mark.parametrize("path", ["/lookup/x", "/reserve/x", "/search/x"])
+def test_answer_with_an_impossible_status_is_a_failure(
+    deployment: site.Site, path: str, status: str
+) -> None:
+    """Guards against a status without meaning that a caller gets, or waits for."""
+    front = deployment.add_front()
+    for target in deployment.targets.values():
+        deployment.inject_faults(target, mode=f"status_{status}")
+    method = "POST" if path.startswith("/reserve") else "GET"
+    started = time.monotonic()
+    reply = front.request(path, "r1", 2000, method)
+    assert reply.status in (502, 504) and "x-response-stamp" not in reply.headers
+    assert time.monotonic() - started < 1.0
+
+
 def test_hanging_replica_is_hedged(deployment: site.Site) -> None:
     """Guards against a single hanging target that delays a whole search."""
     front = deployment.add_front()
