Tell the sender of a request the newer version at once

Cause: the version that excludes older aggregators was raised by complete answers only; pings come 400 ms apart, the slack is 250 ms.

Evidence: with two aggregators in memory, the older one was still chosen after the newer one had begun; test_version_of_a_running_request_excludes_older_ aggregators failed without the change.

Change: an aggregator that serves a request by a newer version than the sender has named sends an interim response with its version at once.

--- a/jackdawpass/connection/http_connection.py
+++ b/jackdawpass/connection/http_connection.py
@@ -35,7 +35,7 @@
 
 
 OnDone = collections.abc.Callable[[dialect.HttpReply | ExchangeError], None]
-OnInterim = collections.abc.Callable[[], None]
+OnInterim = collections.abc.Callable[[dialect.HttpReply], None]
 MatchesRequest = collections.abc.Callable[[dialect.HttpReply], bool | None]
 
 # A target may close an idle connection when its idle timeout ends. The last part of
@@ -281,10 +281,11 @@
             self._parser.should_keep_alive() and not self._body_ends_at_close
         )
         if self._status < 200:
+            interim = self._reply()
             self._skip_reply()
             # A protocol change ends the exchange; it acknowledges nothing.
             if self._status != 101 and self._on_interim is not None:
-                self._on_interim()
+                self._on_interim(interim)
             return
         is_own = self._matches is None or self._matches(self._reply())
         if is_own is None:
--- a/jackdawpass/connection/ingress.py
+++ b/jackdawpass/connection/ingress.py
@@ -41,7 +41,7 @@
     504: "Gateway Timeout",
 }
 
-INTERIM_RESPONSE = b"HTTP/1.1 102 Processing\r\n\r\n"
+INTERIM_RESPONSE = b"HTTP/1.1 102 Processing\r\n%s\r\n"
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -114,8 +114,11 @@
     def handle(self, request: IncomingRequest, on_response: OnResponse) -> Exchange:
         """Serve a request; `on_response` is called once, possibly before returning."""
 
-    def acknowledges(self, request: IncomingRequest) -> bool:
-        """Return whether an interim response confirms that a request is accepted."""
+    def interim_headers(self, request: IncomingRequest) -> Headers | None:
+        """Return the headers of an interim response to an accepted request.
+
+        Returns None for no interim response.
+        """
 
     def on_open(self, connection: "CallerConnection") -> None:
         """Add a new connection."""
@@ -318,8 +321,10 @@
         current = self._handler.handle(request, on_response)
         if self._serving:
             self._current = current
-            if self._handler.acknowledges(request):
-                self._write(INTERIM_RESPONSE)
+            interim_headers = self._handler.interim_headers(request)
+            if interim_headers is not None:
+                lines = [b"%s: %s\r\n" % header for header in interim_headers]
+                self._write(INTERIM_RESPONSE % b"".join(lines))
 
     def _respond(self, response: OutgoingResponse, keep_alive: bool) -> None:
         if self._closed:
--- a/jackdawpass/process/serving/forwarded_request.py
+++ b/jackdawpass/process/serving/forwarded_request.py
@@ -31,7 +31,7 @@
 
     @property
     def version(self) -> int:
-        """Highest configuration version by which this instance has answered."""
+        """Highest configuration version by which a request was served."""
 
     def choose(
         self, tried: collections.abc.Collection[str]
@@ -39,7 +39,7 @@
         """Return the aggregator for a request, or None if none is usable."""
 
     def on_version(self, version: int) -> None:
-        """Record the configuration version of an answer."""
+        """Record the configuration version by which a request is served."""
 
     def on_notices(
         self, now: float, notices: collections.abc.Iterable[model.TargetNotice]
@@ -173,7 +173,17 @@
         remaining = self._deadline - clock.monotonic()
         request = self._encode(remaining, self._links.version, self._is_repeat)
         on_reply = functools.partial(self._on_reply, link, self._is_repeat)
-        connection.send(request, on_reply)
+        on_interim = functools.partial(self._on_interim, link)
+        connection.send(request, on_reply, on_interim=on_interim)
+
+    def _on_interim(
+        self, link: aggregator_link.AggregatorLink, interim: dialect.HttpReply
+    ) -> None:
+        """Record the version by which an aggregator has begun to serve the request."""
+        report = peer_wire.decode_report(interim)
+        if report is not None:
+            link.update_report(report)
+            self._links.on_version(report.version)
 
     def _on_reply(
         self,
--- a/jackdawpass/process/serving/forwarding.py
+++ b/jackdawpass/process/serving/forwarding.py
@@ -62,7 +62,7 @@
 
     @property
     def version(self) -> int:
-        """Highest configuration version by which this instance has answered."""
+        """Highest configuration version by which a request was served."""
         return self._version
 
     @property
@@ -125,7 +125,7 @@
                 self._links[name].start()
 
     def on_version(self, version: int) -> None:
-        """Record the configuration version of an answer."""
+        """Record the configuration version by which a request is served."""
         self._version = max(self._version, version)
 
     def on_notices(
--- a/jackdawpass/process/serving/handlers.py
+++ b/jackdawpass/process/serving/handlers.py
@@ -214,9 +214,8 @@
             request.request_id, encode, timeout, on_response, fallback
         )
 
-    def acknowledges(self, request: ingress.IncomingRequest) -> bool:
-        """Return False: callers get no interim response."""
-        return False
+    def interim_headers(self, request: ingress.IncomingRequest) -> None:
+        """Return None: callers get no interim response."""
 
     def _is_ahead_of_aggregators(self) -> bool:
         """Return whether this instance receives changes while no aggregator does."""
--- a/jackdawpass/process/serving/pages.py
+++ b/jackdawpass/process/serving/pages.py
@@ -37,9 +37,8 @@
         on_response(self._page())
         return ingress.FinishedExchange()
 
-    def acknowledges(self, request: ingress.IncomingRequest) -> bool:
-        """Return False: the response is immediate."""
-        return False
+    def interim_headers(self, request: ingress.IncomingRequest) -> None:
+        """Return None: the response is immediate."""
 
     def on_open(self, connection: ingress.CallerConnection) -> None:
         """Do nothing."""
--- a/jackdawpass/process/serving/peer_handler.py
+++ b/jackdawpass/process/serving/peer_handler.py
@@ -105,13 +105,21 @@
                 return self._decline(on_response, _encode_review(review))
         return self._gateway.serve(caller_request, on_outcome)
 
-    def acknowledges(self, request: ingress.IncomingRequest) -> bool:
-        """Return whether a request is a subquery.
+    def interim_headers(
+        self, request: ingress.IncomingRequest
+    ) -> ingress.Headers | None:
+        """Return the headers of an interim response that the sender needs, or None.
 
         The sender of a subquery queries the targets directly unless an interim response
-        arrives soon.
+        arrives soon. The sender of a whole request must not use an older version from
+        now on, since a target may run the request by this instance's version.
         """
-        return request.header(peer_wire.SHARDS) is not None
+        if request.header(peer_wire.SHARDS) is not None:
+            return ()
+        report = self.report
+        if report.version <= peer_wire.decode_seen_version(request):
+            return None
+        return peer_wire.encode_report(report)
 
     def _serve_subquery(
         self,
--- a/jackdawpass/process/submission.py
+++ b/jackdawpass/process/submission.py
@@ -169,7 +169,7 @@
         connection.send(request, self._on_done, matches, on_interim)
         self._listener.on_sent(self._attempt.attempt_id)
 
-    def _on_interim(self) -> None:
+    def _on_interim(self, interim: dialect.HttpReply) -> None:
         if not self._is_accepted:
             self._is_accepted = True
             self._listener.on_accepted(self._attempt.attempt_id)
--- a/tests/connection/test_http_connection.py
+++ b/tests/connection/test_http_connection.py
@@ -7,6 +7,7 @@
 
 from jackdawpass.connection import dialect, http_connection, ingress
 
+INTERIM = ingress.INTERIM_RESPONSE % b""
 REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 
 
@@ -44,7 +45,7 @@
     def on_closed(self, closed: http_connection.HttpConnection) -> None:
         self.events.append("closed")
 
-    def _on_interim(self) -> None:
+    def _on_interim(self, interim: dialect.HttpReply) -> None:
         self.events.append("interim")
 
     def _on_done(
@@ -63,10 +64,10 @@
     return made
 
 
-@pytest.mark.parametrize("cut", [0, 5, len(ingress.INTERIM_RESPONSE) + 9])
+@pytest.mark.parametrize("cut", [0, 5, len(INTERIM) + 9])
 def test_interim_reply_comes_before_the_reply(link: Link, cut: int) -> None:
     """Guards against an acknowledgement that is ignored or mistaken for the reply."""
-    data = ingress.INTERIM_RESPONSE + REPLY
+    data = INTERIM + REPLY
     for part in (data[:cut], data[cut:]):
         if part:
             link.receive(part)
@@ -78,7 +79,7 @@
     """Guards against counting an attempt as accepted after it has ended."""
     ended: list[typing.Any] = []
     link.connection.discard_reply(ended.append)
-    link.receive(ingress.INTERIM_RESPONSE + REPLY)
+    link.receive(INTERIM + REPLY)
     assert link.events == [] and len(ended) == 1
 
 
--- a/tests/connection/test_ingress.py
+++ b/tests/connection/test_ingress.py
@@ -36,7 +36,7 @@
     def __init__(self) -> None:
         self.caller_limits = routes.CallerLimits(100, 10, 3.0, 15.0)
         self.closing = False
-        self.acknowledged = False
+        self.interim: ingress.Headers | None = None
         self.served: list[Served] = []
         self.open: set[ingress.CallerConnection] = set()
 
@@ -46,8 +46,10 @@
         self.served.append(Served(request, on_response))
         return self.served[-1]
 
-    def acknowledges(self, request: ingress.IncomingRequest) -> bool:
-        return self.acknowledged
+    def interim_headers(
+        self, request: ingress.IncomingRequest
+    ) -> ingress.Headers | None:
+        return self.interim
 
     def on_open(self, connection: ingress.CallerConnection) -> None:
         self.open.add(connection)
@@ -263,13 +265,20 @@
     assert caller.connection.idle
 
 
-def test_accepted_request_is_acknowledged_before_its_response(caller: Caller) -> None:
+@pytest.mark.parametrize(
+    ("headers", "lines"),
+    [((), b""), (((b"a", b"1"), (b"b", b"2")), b"a: 1\r\nb: 2\r\n")],
+)
+def test_accepted_request_is_acknowledged_before_its_response(
+    caller: Caller, headers: ingress.Headers, lines: bytes
+) -> None:
     """Guards against sending a request elsewhere while an instance works on it."""
-    caller.handler.acknowledged = True
+    caller.handler.interim = headers
     caller.send(GET)
-    assert caller.written == ingress.INTERIM_RESPONSE
+    interim = ingress.INTERIM_RESPONSE % lines
+    assert caller.written == interim
     caller.answer(0)
-    assert caller.written.startswith(ingress.INTERIM_RESPONSE + b"HTTP/1.1 200 OK")
+    assert caller.written.startswith(interim + b"HTTP/1.1 200 OK")
 
 
 @pytest.mark.parametrize(
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -4,6 +4,7 @@
 import dataclasses
 import http.client
 import json
+import os
 import pathlib
 import typing
 
@@ -12,6 +13,8 @@
 from tests import rig
 
 HOST = "shop.example"
+# Memory that the settings allow a front.
+MEMORY_BYTES = 256 * 1024 * 1024
 # Short, so that tests see requests after it.
 DRAIN_MS = 500
 
@@ -37,6 +40,11 @@
         self.ready_port = ready
         self.process = process
 
+    def resident_bytes(self) -> int:
+        """Return the resident memory of the process."""
+        fields = pathlib.Path(f"/proc/{self.process.pid}/statm").read_text().split()
+        return int(fields[1]) * os.sysconf("SC_PAGE_SIZE")
+
     def ready(self) -> bool:
         try:
             return self.request("/ready", port=self.ready_port).status == 200
--- a/tests/platform/test_endless_process.py
+++ b/tests/platform/test_endless_process.py
@@ -11,7 +11,6 @@
 
 from tests import rig
 from tests.platform import site
-from tests.platform.test_memory_process import MEMORY_BYTES, resident_bytes
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Response-Stamp: s\r\n"
 CHUNK_BYTES = 64 * 1024
@@ -96,7 +95,7 @@
                 for number in range(CALLERS // 2)
             ]
             while not all(each.done() for each in reserved + looked_up):
-                highest = max(highest, resident_bytes(front))
+                highest = max(highest, front.resident_bytes())
             assert {each.result().status for each in looked_up} == {200}
             assert {each.result().status for each in reserved} <= {502, 503, 504}
-    assert highest <= MEMORY_BYTES
+    assert highest <= site.MEMORY_BYTES
--- a/tests/process/serving/test_forwarding.py
+++ b/tests/process/serving/test_forwarding.py
@@ -1,130 +1,73 @@
 """Forwarding to aggregators: their choice, and the effects of their loss."""
 
-import random
-import typing
-
 import pytest
 from twisted.internet import error
-from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python import failure
 
-from jackdawpass import clock
-from jackdawpass.connection import ingress
 from jackdawpass.process.serving import (
     aggregator_link,
     aggregators,
     forwarding,
-    peer_wire,
-)
-
-PONG = (
-    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
-    b"jackdawpass-version: %d\r\njackdawpass-state: %s\r\n\r\n"
 )
-ANSWER = PONG.replace(b"Content-Length: 0", b"x-own: 1\r\nContent-Length: 2") + b"ok"
-
-
-class Transport(StringTransport):
-    """In-memory transport that only records an abort."""
-
-    def setTcpNoDelay(self, enabled: bool) -> None:
-        pass
-
-    def abortConnection(self) -> None:
-        self.disconnecting = True
-
-
-class Harness:
-    """A forwarder whose aggregators are simulated by the test."""
-
-    def __init__(self, monkeypatch: pytest.MonkeyPatch, names: str) -> None:
-        self.reactor = MemoryReactorClock()
-        monkeypatch.setattr(clock, "monotonic", self.reactor.seconds)
-        generator = random.Random(1)
-        self.forwarder = forwarding.Forwarder(self.reactor, generator, lambda *_: None)
-        self.answers: list[ingress.OutgoingResponse] = []
-        self.fallbacks = 0
-        self.links: dict[int, list[tuple[typing.Any, Transport]]] = {}
-        members = [
-            aggregators.Member(name, "a", "127.0.0.1", port, 1.0)
-            for port, name in enumerate(names)
-        ]
-        self.forwarder.apply(members)
-
-    def connect(self) -> None:
-        """Accept all pending connection attempts."""
-        while self.reactor.tcpClients:
-            _, port, factory, _, _ = self.reactor.tcpClients.pop(0)
-            connection: typing.Any = factory.buildProtocol(None)
-            transport = Transport()
-            connection.makeConnection(transport)
-            self.links.setdefault(port, []).append((connection, transport))
-
-    def refuse(self) -> None:
-        """Refuse all pending connection attempts."""
-        while self.reactor.tcpClients:
-            factory: typing.Any = self.reactor.tcpClients.pop(0)[2]
-            factory.clientConnectionFailed(None, failure.Failure(error.ConnectError()))
-
-    def reply(self, port: int, data: bytes, start: bytes = b"GET /x") -> bytes:
-        """Answer the request written to an aggregator and return the request."""
-        for connection, transport in self.links[port]:
-            written = bytes(transport.value())
-            if written.startswith(start):
-                transport.clear()
-                connection.dataReceived(data)
-                return written
-        raise AssertionError("no request was written")
-
-    def make_ready(self, port: int, version: int = 1, state: bytes = b"ready") -> None:
-        self.connect()
-        self.reply(port, PONG % (version, state), peer_wire.PING)
-
-    def forward(self) -> ingress.Exchange:
-        return self.forwarder.forward_request(
-            "r1",
-            lambda timeout, version, is_repeat: (
-                b"GET /x v%d%s\r\n\r\n" % (version, b" repeat" * is_repeat)
-            ),
-            1.0,
-            self.answers.append,
-            self.fall_back,
-        )
-
-    def fall_back(self) -> ingress.Exchange:
-        self.fallbacks += 1
-        return ingress.FinishedExchange()
+from tests.process.serving import forwarding_harness
 
 
 @pytest.fixture
-def ready_harness(monkeypatch: pytest.MonkeyPatch) -> Harness:
+def ready_harness(monkeypatch: pytest.MonkeyPatch) -> forwarding_harness.Harness:
     """Return a harness with one ready aggregator."""
-    harness = Harness(monkeypatch, "x")
+    harness = forwarding_harness.Harness(monkeypatch, "x")
     harness.make_ready(0)
     return harness
 
 
-def test_answer_is_relayed_without_internal_headers(ready_harness: Harness) -> None:
+def test_answer_is_relayed_without_internal_headers(
+    ready_harness: forwarding_harness.Harness,
+) -> None:
     """Guards against internal headers that reach callers."""
     ready_harness.forward()
     ready_harness.connect()
-    assert ready_harness.reply(0, ANSWER % (3, b"ready")) == b"GET /x v0\r\n\r\n"
+    assert (
+        ready_harness.reply(0, forwarding_harness.ANSWER % (3, b"ready"))
+        == b"GET /x v0\r\n\r\n"
+    )
     (answer,) = ready_harness.answers
     assert (answer.status, answer.body) == (200, b"ok")
     assert answer.headers == ((b"x-own", b"1"),)
     assert ready_harness.forwarder.version == 3
 
 
+def test_version_of_a_running_request_excludes_older_aggregators(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an older version after a target saw the effect of a newer one."""
+    harness = forwarding_harness.Harness(monkeypatch, "xy")
+    for port in (0, 1):
+        harness.make_ready(port)
+    harness.forward()
+    harness.connect()
+    (newer,) = [
+        p for p in (0, 1) if any(b"/x" in t.value() for _, t in harness.links[p])
+    ]
+    interim = forwarding_harness.PONG.replace(
+        b"200 OK\r\nContent-Length: 0", b"102 Processing"
+    )
+    harness.reply(newer, interim % (2, b"ready"))
+    assert not harness.answers
+    for _ in range(5):
+        chosen = harness.forwarder.choose(())
+        assert chosen is not None and chosen.member.port == newer
+
+
 def test_without_aggregators_the_fallback_serves(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against requests that are never served."""
-    harness = Harness(monkeypatch, "")
+    harness = forwarding_harness.Harness(monkeypatch, "")
     harness.forward()
     assert harness.fallbacks == 1
 
 
-def fall_silent(harness: Harness, *others: int) -> None:
+def fall_silent(harness: forwarding_harness.Harness, *others: int) -> None:
     """Let a ping time out at the aggregator of port 0; the others answer theirs."""
     for _ in range(2):
         harness.reactor.advance(aggregator_link.PING_SECONDS)
@@ -133,7 +76,9 @@
             harness.make_ready(port)
 
 
-def forward_to_silent_aggregator(harness: Harness) -> Transport:
+def forward_to_silent_aggregator(
+    harness: forwarding_harness.Harness,
+) -> forwarding_harness.Transport:
     """Forward a request to port 0, which falls silent; return its connection."""
     harness.make_ready(0)
     harness.forward()
@@ -147,14 +92,14 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against giving up a request that a paused aggregator is serving."""
-    harness = Harness(monkeypatch, "x")
+    harness = forwarding_harness.Harness(monkeypatch, "x")
     asked = forward_to_silent_aggregator(harness)
     asked.clear()
     fall_silent(harness)
     assert not harness.forwarder.reachable
     assert harness.answers == [] and not asked.disconnecting
     (connection,) = [c for c, transport in harness.links[0] if transport is asked]
-    connection.dataReceived(ANSWER % (1, b"ready"))
+    connection.dataReceived(forwarding_harness.ANSWER % (1, b"ready"))
     assert [answer.status for answer in harness.answers] == [200]
     assert harness.forwarder.reachable
 
@@ -163,16 +108,16 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against requests that wait for a frozen aggregator without end."""
-    harness = Harness(monkeypatch, "x")
+    harness = forwarding_harness.Harness(monkeypatch, "x")
     forward_to_silent_aggregator(harness)
     fall_silent(harness)
     harness.reactor.advance(1.0)
     assert [answer.status for answer in harness.answers] == [504]
 
 
-def make_repeat(monkeypatch: pytest.MonkeyPatch) -> Harness:
+def make_repeat(monkeypatch: pytest.MonkeyPatch) -> forwarding_harness.Harness:
     """Return a harness whose request went to port 0, which is silent, and to 1."""
-    harness = Harness(monkeypatch, "xy")
+    harness = forwarding_harness.Harness(monkeypatch, "xy")
     forward_to_silent_aggregator(harness)
     harness.make_ready(1)
     fall_silent(harness, 1)
@@ -185,14 +130,16 @@
 ) -> None:
     """Guards against requests that wait for a frozen aggregator."""
     harness = make_repeat(monkeypatch)
-    assert b"repeat" in harness.reply(1, ANSWER % (1, b"ready"))
+    assert b"repeat" in harness.reply(1, forwarding_harness.ANSWER % (1, b"ready"))
     assert [answer.status for answer in harness.answers] == [200]
     assert any(transport.disconnecting for _, transport in harness.links[0])
 
 
-def decline(harness: Harness, port: int, headers: bytes) -> None:
+def decline(harness: forwarding_harness.Harness, port: int, headers: bytes) -> None:
     """Decline the request written to an aggregator."""
-    harness.reply(port, (PONG % (1, b"ready")).replace(b"\r\n", headers, 1))
+    harness.reply(
+        port, (forwarding_harness.PONG % (1, b"ready")).replace(b"\r\n", headers, 1)
+    )
 
 
 def test_request_that_must_run_once_waits_for_its_route_s_timeout(
@@ -225,7 +172,9 @@
 ) -> None:
     """Guards against a 503 for a request that the first aggregator may have run."""
     harness = make_repeat(monkeypatch)
-    harness.reply(1, (ANSWER % (1, b"ready")).replace(b"200 OK", b"503 Full"))
+    harness.reply(
+        1, (forwarding_harness.ANSWER % (1, b"ready")).replace(b"200 OK", b"503 Full")
+    )
     assert [answer.status for answer in harness.answers] == [502]
 
 
@@ -233,13 +182,13 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a 502 for a request that another aggregator can answer."""
-    harness = Harness(monkeypatch, "xy")
+    harness = forwarding_harness.Harness(monkeypatch, "xy")
     asked = forward_to_silent_aggregator(harness)
     harness.make_ready(1)
     (connection,) = [c for c, transport in harness.links[0] if transport is asked]
     connection.connectionLost(failure.Failure(error.ConnectionLost()))
     harness.connect()
-    assert b"repeat" in harness.reply(1, ANSWER % (1, b"ready"))
+    assert b"repeat" in harness.reply(1, forwarding_harness.ANSWER % (1, b"ready"))
     assert [answer.status for answer in harness.answers] == [200]
 
 
@@ -247,7 +196,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against serving a request again that must perhaps run once."""
-    harness = Harness(monkeypatch, "x")
+    harness = forwarding_harness.Harness(monkeypatch, "x")
     asked = forward_to_silent_aggregator(harness)
     (connection,) = [c for c, transport in harness.links[0] if transport is asked]
     connection.connectionLost(failure.Failure(error.ConnectionLost()))
@@ -256,7 +205,7 @@
 
 
 def test_own_stall_is_not_attributed_to_the_aggregator(
-    ready_harness: Harness,
+    ready_harness: forwarding_harness.Harness,
 ) -> None:
     """Guards against dropping all aggregators after a pause of this process."""
     ready_harness.reactor.advance(aggregator_link.PING_SECONDS)
@@ -269,7 +218,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a 502 for a request that reached no aggregator."""
-    harness = Harness(monkeypatch, "x")
+    harness = forwarding_harness.Harness(monkeypatch, "x")
     harness.make_ready(0)
     for connection, _ in harness.links.pop(0):
         connection.connectionLost(failure.Failure(error.ConnectionDone()))
@@ -279,11 +228,11 @@
     assert harness.fallbacks == 1 and not harness.answers
 
 
-def test_declined_request_falls_back(ready_harness: Harness) -> None:
+def test_declined_request_falls_back(ready_harness: forwarding_harness.Harness) -> None:
     """Guards against a 503 to a caller that another instance can serve."""
     ready_harness.forward()
     ready_harness.connect()
-    refused = (PONG % (1, b"ready")).replace(
+    refused = (forwarding_harness.PONG % (1, b"ready")).replace(
         b"\r\n", b"\r\njackdawpass-not-taken: 1\r\n", 1
     )
     ready_harness.reply(0, refused)
@@ -294,7 +243,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against answers from an older version after a newer one."""
-    harness = Harness(monkeypatch, "xy")
+    harness = forwarding_harness.Harness(monkeypatch, "xy")
     harness.make_ready(0, version=4)
     harness.make_ready(1, version=5)
     harness.forwarder.on_version(5)
@@ -306,7 +255,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against an isolated zone that serves none of the requests it could."""
-    harness = Harness(monkeypatch, "xy")
+    harness = forwarding_harness.Harness(monkeypatch, "xy")
     harness.make_ready(0, state=b"isolated")
     assert not harness.forwarder.ready and harness.forwarder.reachable
     harness.make_ready(1)
@@ -314,7 +263,9 @@
     assert link is not None and link.member.name == "y"
 
 
-def test_disconnected_caller_cancels_its_request(ready_harness: Harness) -> None:
+def test_disconnected_caller_cancels_its_request(
+    ready_harness: forwarding_harness.Harness,
+) -> None:
     """Guards against targets that work on requests without a caller."""
     request = ready_harness.forward()
     ready_harness.connect()
@@ -323,16 +274,16 @@
     assert not ready_harness.answers
 
 
-def make_two_zones(monkeypatch: pytest.MonkeyPatch) -> Harness:
+def make_two_zones(monkeypatch: pytest.MonkeyPatch) -> forwarding_harness.Harness:
     """Return a local aggregator at port 0 and a remote one at port 9."""
-    harness = Harness(monkeypatch, "x")
+    harness = forwarding_harness.Harness(monkeypatch, "x")
     remote = aggregators.Member("far", "b", "127.0.0.1", 9, 1.0)
     local = aggregators.Member("x", "a", "127.0.0.1", 0, 1.0)
     harness.forwarder.apply((local,), (remote,))
     return harness
 
 
-def chosen_name(harness: Harness) -> str | None:
+def chosen_name(harness: forwarding_harness.Harness) -> str | None:
     link = harness.forwarder.choose(())
     return None if link is None else link.member.name
 
@@ -392,7 +343,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against missed versions that this instance could read from the store."""
-    harness = Harness(monkeypatch, "x")
+    harness = forwarding_harness.Harness(monkeypatch, "x")
     harness.make_ready(0, state=b"stale")
     assert not harness.forwarder.is_stale(forwarding.STALE_SECONDS - 0.1)
     assert harness.forwarder.is_stale(forwarding.STALE_SECONDS + 0.1)
--- a/tests/process/serving/test_handlers.py
+++ b/tests/process/serving/test_handlers.py
@@ -347,3 +347,17 @@
     answered_at = timing.answer_by(0.0, handlers.HOP_SECONDS, route)
     # One iteration of the event loop and the end of 90 attempts add up to 2 ms.
     assert answered_at + FORWARDING_SECONDS + 0.002 <= route.latency_objective
+
+
+@pytest.mark.parametrize(("seen", "is_told"), [(b"6", True), (b"7", False)])
+def test_sender_is_told_of_a_newer_version_at_once(
+    peer: PeerHarness, seen: bytes, is_told: bool
+) -> None:
+    """Guards against a sender that uses an older version while the request runs."""
+    request = ingress.IncomingRequest(b"GET", b"/x", ((peer_wire.VERSION, seen),), b"")
+    headers = peer.handler.interim_headers(request)
+    assert (headers is not None) == is_told
+    if headers is not None:
+        interim = dialect.HttpReply(102, b"", headers)
+        report = peer_wire.decode_report(interim)
+        assert report is not None and report.version == 7
