Apply the limits of the newest known version at instances that forward

Cause: an instance that forwards has no routing table, or an old one, and used default or old limits.

Evidence: in a test with real processes a forwarding instance answered 413 to 400,000 bytes under a limit of 500,000 (test_raised_limit_is_in_force_at_ instances_that_forward, which failed before).

Change: aggregators report the limits in replies to pings, and those of the newest known version are in force. Unknown limits are lenient. On a related path, an aggregator with an older version no longer applies its own limit to a body that the sender has checked.

--- a/jackdawpass/process/serving/aggregator_link.py
+++ b/jackdawpass/process/serving/aggregator_link.py
@@ -8,6 +8,7 @@
 from jackdawpass.connection import dialect, http_connection, pool, reply_limits
 from jackdawpass.process import logs
 from jackdawpass.process.serving import aggregators, peer_wire
+from jackdawpass.version import routes
 
 _logger = logs.get_logger(__name__)
 
@@ -40,6 +41,7 @@
         self._reactor = reactor
         self.member = member
         self.report = peer_wire.Report(peer_wire.State.UNREADY, 0)
+        self.limits: routes.CallerLimits | None = None
         self.forwarded: set[ForwardedRequest] = set()
         self._pool = pool.Pool(
             reactor,
@@ -133,4 +135,5 @@
         if report is None:
             self.mark_silent()
         else:
+            self.limits = peer_wire.decode_limits(outcome)
             self.update_report(report)
--- a/jackdawpass/process/serving/forwarding.py
+++ b/jackdawpass/process/serving/forwarding.py
@@ -15,6 +15,7 @@
     peer_wire,
 )
 from jackdawpass.request import model
+from jackdawpass.version import routes
 
 # How long stale aggregators are trusted before this instance checks the store itself: a
 # change has at least three seconds to come into force.
@@ -59,6 +60,18 @@
         self._remote_needed_until = -math.inf
         self._last_fresh_at = clock.monotonic()
         self._version = 0
+        self._reported_limits: tuple[int, routes.CallerLimits] | None = None
+
+    @property
+    def reported_limits(self) -> tuple[int, routes.CallerLimits] | None:
+        """Newest version with the limits for callers that an aggregator reported."""
+        for link in self._links.values():
+            known = self._reported_limits
+            if link.limits is not None and (
+                known is None or link.report.version > known[0]
+            ):
+                self._reported_limits = (link.report.version, link.limits)
+        return self._reported_limits
 
     @property
     def version(self) -> int:
--- a/jackdawpass/process/serving/handlers.py
+++ b/jackdawpass/process/serving/handlers.py
@@ -22,9 +22,16 @@
 # itself, and the interval at which this is checked.
 SYNC_WAIT_SECONDS = 0.3
 SYNC_WAIT_STEP_SECONDS = 0.02
-# Idle timeout without a configuration, which instances that forward requests do not
-# have. At least as long as the timeouts that operators configure for callers.
+# Idle timeout without a configuration, and of other instances. At least as long as the
+# timeouts that operators configure for callers.
 IDLE_TIMEOUT_SECONDS = 60.0
+# Limits before any configuration is known. They are lenient, since a request that the
+# configuration may allow gets a refusal that its caller may repeat.
+UNKNOWN_LIMITS = routes.CallerLimits(
+    max_header_bytes=64 * 1024,
+    max_body_bytes=4 * 1024 * 1024,
+    idle_timeout=IDLE_TIMEOUT_SECONDS,
+)
 # Overhead of the hop through an aggregator on a machine with 0.36 cores: from the
 # aggregator's answer to the caller's receipt of it.
 HOP_SECONDS = 0.006
@@ -158,11 +165,12 @@
 
     @property
     def caller_limits(self) -> routes.CallerLimits:
-        """Limits in force for callers."""
+        """Limits in force for callers: those of the newest known version."""
         table = self._gateway.table
-        if table is None:
-            return routes.CallerLimits(idle_timeout=IDLE_TIMEOUT_SECONDS)
-        return table.limits
+        reported = self._forwarder.reported_limits
+        if table is not None and (reported is None or table.version >= reported[0]):
+            return table.limits
+        return UNKNOWN_LIMITS if reported is None else reported[1]
 
     @property
     def closing(self) -> bool:
--- a/jackdawpass/process/serving/peer_handler.py
+++ b/jackdawpass/process/serving/peer_handler.py
@@ -34,12 +34,15 @@
 
     @property
     def caller_limits(self) -> routes.CallerLimits:
-        """Limits for callers, with twice the header size and a long idle timeout."""
+        """Limits for other instances, which have applied those for callers.
+
+        Their configuration may be newer, so that they accept larger bodies.
+        """
         table = self._gateway.table
         limits = routes.CallerLimits() if table is None else table.limits
         return routes.CallerLimits(
             2 * limits.max_header_bytes,
-            limits.max_body_bytes,
+            max(limits.max_body_bytes, handlers.UNKNOWN_LIMITS.max_body_bytes),
             limits.header_timeout,
             handlers.IDLE_TIMEOUT_SECONDS,
         )
@@ -78,7 +81,9 @@
         self._instance.follow_targets()
         on_response = self._add_report(clock.monotonic(), on_response)
         if request.target == peer_wire.PING_PATH:
-            on_response(ingress.OutgoingResponse(200, (), b""))
+            table = self._gateway.table
+            headers = () if table is None else peer_wire.encode_limits(table.limits)
+            on_response(ingress.OutgoingResponse(200, headers, b""))
             return ingress.FinishedExchange()
         decoded = self._wire.decode_request(request)
         if isinstance(decoded, result.Failure) or not self._accepts(request):
--- a/jackdawpass/process/serving/peer_wire.py
+++ b/jackdawpass/process/serving/peer_wire.py
@@ -8,6 +8,7 @@
 
 from jackdawpass.connection import dialect, ingress
 from jackdawpass.request import model
+from jackdawpass.version import routes
 
 # Configuration version: in a request the newest one seen, in a reply the one in force.
 VERSION = b"jackdawpass-version"
@@ -36,6 +37,9 @@
 # In a reply the incarnations of targets that have announced since the request that they
 # leave.
 LEAVING = b"jackdawpass-leaving"
+# In the reply to a ping the limits for callers: header and body bytes, header and idle
+# timeouts in milliseconds.
+LIMITS = b"jackdawpass-limits"
 HEADERS = frozenset(
     (
         VERSION,
@@ -49,6 +53,7 @@
         FANOUT_DIGEST,
         ANSWER_WITHIN_MS,
         LEAVING,
+        LIMITS,
     )
 )
 
@@ -188,6 +193,30 @@
     return tuple(notices)
 
 
+def encode_limits(limits: routes.CallerLimits) -> ingress.Headers:
+    """Return the header with the limits for callers."""
+    values = (
+        limits.max_header_bytes,
+        limits.max_body_bytes,
+        round(limits.header_timeout * 1000),
+        round(limits.idle_timeout * 1000),
+    )
+    return ((LIMITS, b",".join(b"%d" % value for value in values)),)
+
+
+def decode_limits(reply: dialect.HttpReply) -> routes.CallerLimits | None:
+    """Return the limits for callers in a reply; None if missing or malformed."""
+    try:
+        header_bytes, body_bytes, header_ms, idle_ms = (
+            int(value) for value in (reply.header(LIMITS) or b"").split(b",")
+        )
+    except ValueError:
+        return None
+    return routes.CallerLimits(
+        header_bytes, body_bytes, header_ms / 1000, idle_ms / 1000
+    )
+
+
 def caller_headers(headers: ingress.Headers) -> ingress.Headers:
     """Return the headers for the caller, without those between instances."""
     dropped = HEADERS | ingress.CONNECTION_HEADERS | {b"content-length"}
--- a/tests/platform/test_tier_process.py
+++ b/tests/platform/test_tier_process.py
@@ -24,6 +24,9 @@
     site.route("report", service="s0", type="non_idempotent", timeout_ms=5000),
 ]
 
+# Time after which a version is in force.
+APPLY_SECONDS = 3.0
+
 
 class Zone:
     """Four fronts of one zone, two of which are aggregators."""
@@ -96,6 +99,29 @@
     assert forwarder.ready()
 
 
+def test_raised_limit_is_in_force_at_instances_that_forward(zone: Zone) -> None:
+    """Guards against proper requests that are refused by a default limit."""
+    forwarder = zone.forwarders[0]
+    rig.wait_for(lambda: _ready_links(forwarder) >= 2, "both aggregators are ready")
+    limits = {
+        "max_header_bytes": 16_384,
+        "max_body_bytes": 500_000,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15_000,
+    }
+    for version, max_body, is_allowed in ((2, 500_000, True), (3, 100_000, False)):
+        zone.deployment.configure(
+            version, ROUTES, limits | {"max_body_bytes": max_body}
+        )
+        time.sleep(APPLY_SECONDS)
+        for number in range(4):
+            request_id = f"v{version}-{number}"
+            reply = forwarder.request(
+                "/lookup/x", request_id, 2000, "POST", bytes(400_000)
+            )
+            assert reply.status == (200 if is_allowed else 413)
+
+
 def test_announcement_passed_on_by_an_aggregator_is_remembered(zone: Zone) -> None:
     """Guards against direct requests to a target that an aggregator knows to leave."""
     forwarder, deployment = zone.forwarders[0], zone.deployment
--- a/tests/process/serving/test_handlers.py
+++ b/tests/process/serving/test_handlers.py
@@ -264,6 +264,8 @@
 class FakeForwarder:
     """Forwarder that accepts every request and has seen version 7."""
 
+    reported_limits: tuple[int, routes.CallerLimits] | None = None
+
     def __init__(self, fresh: bool, version: int = 7) -> None:
         self.fresh = fresh
         self.version = version
@@ -361,3 +363,32 @@
         interim = dialect.HttpReply(102, b"", headers)
         report = peer_wire.decode_report(interim)
         assert report is not None and report.version == 7
+
+
+REPORTED = routes.CallerLimits(1000, 2000, 0.5, 4.25)
+
+
+@pytest.mark.parametrize(
+    ("own_version", "reported_version", "expected"),
+    [
+        (None, None, handlers.UNKNOWN_LIMITS),
+        (None, 3, REPORTED),
+        (7, None, routes.CallerLimits()),
+        (7, 6, routes.CallerLimits()),
+        (7, 8, REPORTED),
+    ],
+)
+def test_limits_of_the_newest_known_version_are_in_force(
+    own_version: int | None,
+    reported_version: int | None,
+    expected: routes.CallerLimits,
+) -> None:
+    """Guards against default or old limits at an instance that forwards requests."""
+    fake_gateway, fake_forwarder = FakeGateway(), FakeForwarder(True)
+    if own_version is None:
+        fake_gateway.table = None
+    if reported_version is not None:
+        fake_forwarder.reported_limits = (reported_version, REPORTED)
+    parts: typing.Any = (FakeDialect(), fake_gateway, fake_forwarder, FakeInstance())
+    handler = handlers.CallerHandler(None, *parts)
+    assert handler.caller_limits == expected
