Keep the pause that a target asks for in a refusal

Cause: the header was not read; a refusal counted for half a second and in a moving average.

Change: the pause is a part of the notices of a reply. A pausing target gets nothing until the end; attempts that wait for its connections go elsewhere; a later value replaces the earlier one. If too few other targets are left, the request is refused at once with the shortest rest of the pauses that matter. Aggregators tell the instances that forward to them. Attempts withdrawn from a leaving or pausing target no longer count as its failures.

--- a/jackdawpass/platform/headers.py
+++ b/jackdawpass/platform/headers.py
@@ -15,6 +15,8 @@
 NOT_RUN = b"x-not-executed"
 # "1" in the replies of a target that leaves.
 LEAVING = b"server-leaving"
+# Seconds for which a target that refuses a request wants no other.
+PAUSE = b"retry-after"
 # Comma-separated signatures of the shards that an answer covers.
 SHARD_SIGNATURES = b"X-Part-Stamps"
 # Number of shards that an answer does not cover.
--- a/jackdawpass/platform/target_dialect.py
+++ b/jackdawpass/platform/target_dialect.py
@@ -1,5 +1,7 @@
 """The platform's protocol between fronts and targets."""
 
+import re
+
 from returns import result
 
 from jackdawpass.connection import dialect
@@ -9,6 +11,10 @@
 # Statuses that guarantee to a caller that its request has not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
+_SECONDS = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+# Bounds a mistaken value, which would shut a target out.
+MAX_PAUSE_SECONDS = 120.0
 
 _MISMATCH = model.AttemptFailure(
     model.FailureKind.MISMATCHED_REPLY, model.Execution.MAY_HAVE_RUN
@@ -92,9 +98,11 @@
         # Another target, which now has the address, has replied.
         if reply.status == _MISDIRECTED:
             return ()
-        if (headers.LEAVING, b"1") not in reply.headers:
+        leaving = (headers.LEAVING, b"1") in reply.headers
+        pause = _decode_pause(reply)
+        if not leaving and pause is None:
             return ()
-        return (model.TargetNotice(target, started, leaving=True),)
+        return (model.TargetNotice(target, started, leaving, pause),)
 
     def encode_health(self) -> bytes:
         """Encode the HTTP request for a target's health."""
@@ -103,3 +111,19 @@
     def decode_health(self, reply: dialect.HttpReply) -> bool:
         """Return whether a target reports that it accepts work."""
         return reply.status == 200
+
+
+def _decode_pause(reply: dialect.HttpReply) -> float | None:
+    """Return the seconds for which the target of a refusal wants no request.
+
+    The longest of several values counts. Dates are ignored, since the time of day of
+    two machines may differ by seconds, and so is all that is no number of seconds.
+    """
+    if reply.status != _UNAVAILABLE:
+        return None
+    values = [
+        float(value)
+        for name, value in reply.headers
+        if name == headers.PAUSE and _SECONDS.fullmatch(value)
+    ]
+    return min(MAX_PAUSE_SECONDS, max(values)) if values else None
--- a/jackdawpass/process/serving/gateway.py
+++ b/jackdawpass/process/serving/gateway.py
@@ -108,7 +108,7 @@
             self._targets, self._throttles, self._durations
         )
         self._notices = notices.NoticeBoard(
-            self._targets, lambda target: self._sender.fail_unsent(target)
+            self._targets, lambda target: self._sender.withdraw_unsent(target)
         )
         on_notices = self._notices.on_notices
         self._sender = sender.Sender(
--- a/jackdawpass/process/serving/immediate_refusals.py
+++ b/jackdawpass/process/serving/immediate_refusals.py
@@ -33,6 +33,15 @@
 )
 
 
+def pausing(seconds: float) -> problems.Problem:
+    """Return the refusal while too many targets want no work for some seconds."""
+    return problems.not_run(
+        problems.ProblemKind.OVERLOADED,
+        "the targets of the request have asked for a pause; retry after it",
+        seconds,
+    )
+
+
 def cap_retry_after(
     outcome: model.Answer | problems.Problem,
 ) -> model.Answer | problems.Problem:
--- a/jackdawpass/process/serving/notices.py
+++ b/jackdawpass/process/serving/notices.py
@@ -32,8 +32,8 @@
     listed_targets : Targets
         The listed targets.
     release_unsent : callable
-        Called with the name of a target that leaves: attempts that wait for one of its
-        connections go elsewhere. Returns their number.
+        Called with the name of a target that leaves or pauses: attempts that wait for
+        one of its connections go elsewhere. Returns their number.
     """
 
     def __init__(
@@ -49,14 +49,26 @@
     ) -> None:
         """Apply the notices of a reply."""
         for notice in notices:
-            if notice.leaving and self._targets.on_leaving(
-                now, notice.target, notice.started
-            ):
+            name, started = notice.target, notice.started
+            if notice.leaving and self._targets.on_leaving(now, name, started):
                 self._on_first_announcement(now, notice)
+            if notice.pause is not None and self._targets.on_pause(
+                now, name, started, notice.pause
+            ):
+                self._on_pause(notice)
 
-    def heard_since(self, at: float) -> tuple[model.TargetNotice, ...]:
+    def heard_since(self, now: float, at: float) -> tuple[model.TargetNotice, ...]:
         """Return the notices received since a time, for another instance."""
-        return self._targets.announcements.heard_since(at)
+        return (
+            *self._targets.announcements.heard_since(at),
+            *self._targets.pauses.heard_since(now, at),
+        )
+
+    def _on_pause(self, notice: model.TargetNotice) -> None:
+        moved = self._release_unsent(notice.target)
+        _logger.info(
+            "target_pauses", target=notice.target, seconds=notice.pause, moved=moved
+        )
 
     def _on_first_announcement(self, now: float, notice: model.TargetNotice) -> None:
         moved = 0
--- a/jackdawpass/process/serving/peer_handler.py
+++ b/jackdawpass/process/serving/peer_handler.py
@@ -166,7 +166,8 @@
         """
 
         def respond(response: ingress.OutgoingResponse) -> None:
-            notices = self._gateway.notices.heard_since(arrived)
+            now = clock.monotonic()
+            notices = self._gateway.notices.heard_since(now, arrived)
             headers = response.headers + peer_wire.encode_report(self.report)
             headers += peer_wire.encode_notices(notices)
             on_response(
--- a/jackdawpass/process/serving/peer_wire.py
+++ b/jackdawpass/process/serving/peer_wire.py
@@ -37,6 +37,9 @@
 # In a reply the incarnations of targets that have announced since the request that they
 # leave.
 LEAVING = b"jackdawpass-leaving"
+# In a reply the incarnations of targets that have asked since the request for a pause,
+# each with the remaining milliseconds.
+PAUSING = b"jackdawpass-pausing"
 # In the reply to a ping the limits for callers: header and body bytes, header and idle
 # timeouts in milliseconds.
 LIMITS = b"jackdawpass-limits"
@@ -53,6 +56,7 @@
         FANOUT_DIGEST,
         ANSWER_WITHIN_MS,
         LEAVING,
+        PAUSING,
         LIMITS,
     )
 )
@@ -173,24 +177,43 @@
 def encode_notices(
     notices: collections.abc.Iterable[model.TargetNotice],
 ) -> ingress.Headers:
-    """Return the header that names leaving targets; none if there are none."""
-    entries = [
-        f"{urllib.parse.quote(notice.target, safe='')}={notice.started}"
-        for notice in itertools.islice(notices, MAX_NOTICES)
-        if notice.leaving
-    ]
-    return ((LEAVING, ",".join(entries).encode()),) if entries else ()
+    """Return the headers that name leaving and pausing targets."""
+    leaving, pausing = [], []
+    for notice in itertools.islice(notices, MAX_NOTICES):
+        name = f"{urllib.parse.quote(notice.target, safe='')}={notice.started}"
+        if notice.leaving:
+            leaving.append(name)
+        if notice.pause is not None:
+            pausing.append(f"{name}={round(notice.pause * 1000)}")
+    return tuple(
+        (header, ",".join(entries).encode())
+        for header, entries in ((LEAVING, leaving), (PAUSING, pausing))
+        if entries
+    )
 
 
 def decode_notices(reply: dialect.HttpReply) -> tuple[model.TargetNotice, ...]:
-    """Return the leaving targets that a reply names, without malformed entries."""
-    notices = []
-    for entry in (reply.header(LEAVING) or b"").decode("latin-1").split(","):
-        name, _, started = entry.partition("=")
-        if name and started.isascii() and started.isdigit():
-            target = urllib.parse.unquote(name)
-            notices.append(model.TargetNotice(target, int(started), leaving=True))
-    return tuple(notices)
+    """Return the notices in a reply, without malformed entries."""
+    leaving = [
+        model.TargetNotice(name, started, leaving=True)
+        for name, (started,) in _decode_entries(reply, LEAVING, 1)
+    ]
+    pausing = [
+        model.TargetNotice(name, started, pause=milliseconds / 1000)
+        for name, (started, milliseconds) in _decode_entries(reply, PAUSING, 2)
+    ]
+    return (*leaving, *pausing)
+
+
+def _decode_entries(
+    reply: dialect.HttpReply, header: bytes, count: int
+) -> collections.abc.Iterator[tuple[str, list[int]]]:
+    """Yield each name in a header with its `count` numbers."""
+    for entry in (reply.header(header) or b"").decode("latin-1").split(","):
+        name, *numbers = entry.split("=")
+        is_valid = all(each.isascii() and each.isdigit() for each in numbers)
+        if name and len(numbers) == count and is_valid:
+            yield urllib.parse.unquote(name), [int(each) for each in numbers]
 
 
 def encode_limits(limits: routes.CallerLimits) -> ingress.Headers:
--- a/jackdawpass/process/serving/refusal_policy.py
+++ b/jackdawpass/process/serving/refusal_policy.py
@@ -1,6 +1,7 @@
 """Refusal of requests that this instance is unlikely to answer."""
 
 import collections.abc
+import math
 
 from jackdawpass.process.serving import (
     caller_requests,
@@ -57,6 +58,9 @@
             return immediate_refusals.ISOLATED
         if not self.finishes_within(request, route, request.stops_in):
             return immediate_refusals.STOPPING
+        pause = self._pause_left(now, route, groups)
+        if pause > 0:
+            return immediate_refusals.pausing(pause)
         return self._throttles.refusal(now, route, request.timeout)
 
     def finishes_within(
@@ -73,6 +77,21 @@
             return True
         return self._durations.likely(route, request.timeout) <= seconds
 
+    def _pause_left(
+        self, now: float, route: routes.Route, groups: collections.abc.Collection[str]
+    ) -> float:
+        """Return the seconds for which pauses prevent an answer; 0 if they do not."""
+        if not self._targets.pauses.may_pause(now):
+            return 0.0
+        pauses = sorted(
+            left
+            for group in groups
+            if (left := self._targets.pause_left(now, group)) is not None
+        )
+        needed = max(1, math.ceil(route.min_coverage * len(groups)))
+        excess = needed - (len(groups) - len(pauses))
+        return pauses[excess - 1] if 0 < excess <= len(pauses) else 0.0
+
     def _lacks_local_coverage(
         self, now: float, route: routes.Route, groups: collections.abc.Collection[str]
     ) -> bool:
--- a/jackdawpass/process/serving/sender.py
+++ b/jackdawpass/process/serving/sender.py
@@ -19,6 +19,7 @@
 _REMOVED = model.AttemptFailure(
     model.FailureKind.CONNECT_FAILED, model.Execution.NOT_SENT
 )
+_WITHDRAWN = model.AttemptFailure(model.FailureKind.DECLINED, model.Execution.NOT_SENT)
 
 
 class Observer(typing.Protocol):
@@ -102,16 +103,16 @@
         """Change the maximum number of connections."""
         self._pool.set_limit(limit)
 
-    def fail_unsent(self) -> int:
+    def fail_unsent(self, failure: model.AttemptFailure) -> int:
         """Fail the attempts that have not been sent; return their number."""
         unsent = [each for each in self._unfinished if not each.sent]
         for submitted in unsent:
-            submitted.fail(_REMOVED)
+            submitted.fail(failure)
         return len(unsent)
 
     def close(self) -> None:
         """Fail unsent attempts; close connections as they become idle."""
-        self.fail_unsent()
+        self.fail_unsent(_REMOVED)
         self._pool.close()
 
 
@@ -169,16 +170,16 @@
                 self._channels[name] = self._open(state, limit)
             self._channels[name].resize(limit)
             if state.listed.leaving:
-                self._channels[name].fail_unsent()
+                self._channels[name].fail_unsent(_REMOVED)
 
     def has_channel(self, target: str) -> bool:
         """Return whether there is a channel to a target."""
         return target in self._channels
 
-    def fail_unsent(self, target: str) -> int:
-        """Fail the attempts not sent to a target yet; return their number."""
+    def withdraw_unsent(self, target: str) -> int:
+        """Withdraw the attempts not sent to a target yet; return their number."""
         channel = self._channels.get(target)
-        return 0 if channel is None else channel.fail_unsent()
+        return 0 if channel is None else channel.fail_unsent(_WITHDRAWN)
 
     def submit(
         self, attempt: model.Attempt, query: bytes, listener: runner.Listener
--- a/jackdawpass/process/serving/targets.py
+++ b/jackdawpass/process/serving/targets.py
@@ -5,7 +5,7 @@
 import math
 import random
 
-from jackdawpass.process.serving import leaving_targets
+from jackdawpass.process.serving import leaving_targets, pausing_targets
 from jackdawpass.request import model
 
 # Weight of a new observation in the moving averages of a target. An instance sees few
@@ -80,6 +80,7 @@
         self._full_until = -math.inf
         self._misdirected_until = -math.inf
         self._usable_until = math.inf
+        self._paused_until = -math.inf
 
     @property
     def leaving(self) -> bool:
@@ -89,7 +90,9 @@
     def usable(self, now: float) -> bool:
         """Return whether attempts may be sent to the target."""
         is_draining = self.listed.leaving or now >= self._usable_until
-        return not is_draining and now >= self._misdirected_until
+        return not is_draining and now >= max(
+            self._misdirected_until, self._paused_until
+        )
 
     def avoided(self, now: float) -> bool:
         """Return whether the target has recently failed too often."""
@@ -140,6 +143,15 @@
         """Record that another target answered at the address."""
         self._misdirected_until = now + MISDIRECTED_SECONDS
 
+    @property
+    def paused_until(self) -> float:
+        """End of the pause that the target asked for; minus infinity for none."""
+        return self._paused_until
+
+    def set_paused_until(self, at: float) -> None:
+        """Set the time before which the target wants no work."""
+        self._paused_until = at
+
     def set_usable_until(self, at: float) -> None:
         """Set the time at which the target stops serving; infinite by default."""
         self._usable_until = at
@@ -189,12 +201,18 @@
         self._states: dict[str, TargetState] = {}
         self._groups: dict[str, tuple[TargetState, ...]] = {}
         self._announcements = leaving_targets.LeavingTargets(drain_seconds)
+        self._pauses = pausing_targets.PausingTargets()
 
     @property
     def announcements(self) -> leaving_targets.LeavingTargets:
         """Targets that have announced in a reply that they leave."""
         return self._announcements
 
+    @property
+    def pauses(self) -> pausing_targets.PausingTargets:
+        """Targets that have asked for a pause in a reply."""
+        return self._pauses
+
     @property
     def states(self) -> collections.abc.Mapping[str, TargetState]:
         """State of each listed target."""
@@ -214,6 +232,7 @@
             state.set_usable_until(
                 self._announcements.usable_until(name, target.started)
             )
+            state.set_paused_until(self._pauses.paused_until(name, target.started))
             states[name] = state
             groups.setdefault(target.group, []).append(state)
         self._states = states
@@ -227,6 +246,25 @@
             state.set_usable_until(self._announcements.usable_until(name, started))
         return is_first
 
+    def on_pause(self, now: float, name: str, started: int, seconds: float) -> bool:
+        """Record that a target wants a pause; return whether it was not pausing."""
+        is_new = self._pauses.add(now, name, started, seconds)
+        state = self._states.get(name)
+        if state is not None and state.listed.started == started:
+            state.set_paused_until(now + seconds)
+        return is_new and seconds > 0
+
+    def pause_left(self, now: float, group: str) -> float | None:
+        """Return the seconds until a target of a group ends its pause.
+
+        Returns None if one is usable now, or if none pauses.
+        """
+        states = self._groups.get(group, ())
+        if not self._pauses.may_pause(now) or any(each.usable(now) for each in states):
+            return None
+        ends = [s.paused_until for s in states if s.usable(s.paused_until)]
+        return max(0.0, min(ends) - now) if ends else None
+
     def has_alternative(self, now: float, name: str) -> bool:
         """Return whether another target, which stays, can replace a target."""
         state = self._states.get(name)
@@ -300,4 +338,5 @@
         model.FailureKind.QUEUE_EXPIRED,
         model.FailureKind.WRONG_TARGET,
         model.FailureKind.DRAINING,
+        model.FailureKind.DECLINED,
     )
--- a/jackdawpass/request/model.py
+++ b/jackdawpass/request/model.py
@@ -177,11 +177,14 @@
         Distinguishes incarnations of the target.
     leaving : bool
         True when the target stops soon and wants no new work.
+    pause : float or None
+        Seconds from now for which the target wants no work; None if it has not said.
     """
 
     target: str
     started: int
     leaving: bool = False
+    pause: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/jackdawpass/standins/listed_target.py
+++ b/jackdawpass/standins/listed_target.py
@@ -52,11 +52,14 @@
         Added to the running time of each request.
     leaving : bool
         Every response says that the target leaves.
+    retry_after : str
+        ``Retry-After`` of the mode ``shed``; empty for none.
     """
 
     mode: str = ""
     slow_ms: float = 0.0
     leaving: bool = False
+    retry_after: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,6 +106,7 @@
         self._reply_timers: dict[http_server.ServerConnection, typing.Any] = {}
         self._last_responses: dict[http_server.ServerConnection, bytes] = {}
         self._cancelled = 0
+        self._refused_at: list[float] = []
 
     def listen(self, port: int = 0, host: str = "127.0.0.1") -> typing.Any:
         """Listen and return the listening port."""
@@ -136,6 +140,9 @@
             return
         if self._faults.mode == "shed":
             refusal = identity | {"X-Not-Executed": "1"}
+            self._refused_at.append(clock.monotonic())
+            if self._faults.retry_after:
+                refusal["Retry-After"] = self._faults.retry_after
             connection.write(_encode_response(503, refusal, b""))
             return
         if self._faults.mode.endswith("copy"):
@@ -203,7 +210,14 @@
         if request.path == "/control/faults":
             self._faults = msgspec.convert(request.document(), TargetFaults)
         runs = [dataclasses.asdict(run) for run in self._runs]
-        connection.reply(200, {"runs": runs, "withdrawn": self._cancelled})
+        connection.reply(
+            200,
+            {
+                "runs": runs,
+                "withdrawn": self._cancelled,
+                "refused_at": self._refused_at,
+            },
+        )
 
 
 def _encode_response(
--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -152,6 +152,12 @@
         runs: list[dict[str, str]] = answer.document["runs"]
         return runs
 
+    def refusals(self, name: str) -> list[float]:
+        """Return the monotonic times of the requests that a target refused."""
+        answer = rig.call("GET", f"{self.targets[name].url}/control/runs")
+        refused_at: list[float] = answer.document["refused_at"]
+        return refused_at
+
     def start_front(
         self, name: str = "front-1", zone: str = "a", store_port: int | None = None
     ) -> Front:
--- a/tests/platform/test_leaving_process.py
+++ b/tests/platform/test_leaving_process.py
@@ -1,6 +1,7 @@
 """Real processes and targets that announce in their replies that they leave."""
 
 import collections.abc
+import concurrent.futures
 import pathlib
 import time
 
@@ -87,5 +88,48 @@
     assert len(deployment.runs("leaves")) == runs
 
 
+@pytest.mark.parametrize("path", ["/lookup/x", "/search/x"])
+def test_pausing_target_gets_at_most_two_requests(
+    deployment: site.Site, path: str
+) -> None:
+    """Guards against requests to a target that has asked for a pause."""
+    front = deployment.add_front()
+    # The other target is slow, so that each request would be hedged.
+    deployment.inject_faults(deployment.targets["stays"], slow_ms=200)
+    target = deployment.targets["leaves"]
+    deployment.inject_faults(target, mode="shed", retry_after="2")
+    with concurrent.futures.ThreadPoolExecutor(4) as executor:
+        sent = [executor.submit(_send_until, front, 2.0, path) for _ in range(4)]
+    assert {reply.status for each in sent for reply in each.result()} == {200}
+    refused_at = deployment.refusals("leaves")
+    assert refused_at
+    # From half a second after the refusal until the end of the pause.
+    late = [at for at in refused_at if 0.5 < at - refused_at[0] < 2.0]
+    assert len(late) <= 2
+
+
+def test_pause_of_all_targets_refuses_at_once(deployment: site.Site) -> None:
+    """Guards against requests that wait while every target wants a pause."""
+    front = deployment.add_front()
+    for name in ("leaves", "stays"):
+        deployment.inject_faults(
+            deployment.targets[name], mode="shed", retry_after="30"
+        )
+    rig.wait_for(
+        lambda: (
+            front.request("/lookup/x").status == 503
+            and sum('"target_pauses"' in line for line in front.process.lines) == 2
+        ),
+        "both targets pause",
+    )
+    refusals = sum(len(deployment.refusals(name)) for name in ("leaves", "stays"))
+    started = time.monotonic()
+    reply = front.request("/lookup/x", "r2")
+    assert reply.status == 503 and float(reply.headers["retry-after"]) > 20
+    assert time.monotonic() - started < 0.5
+    after = sum(len(deployment.refusals(name)) for name in ("leaves", "stays"))
+    assert after == refusals
+
+
 def _is_announced(front: site.Front) -> bool:
     return any('"target_leaves"' in line for line in front.process.lines)
--- a/tests/platform/test_target_dialect.py
+++ b/tests/platform/test_target_dialect.py
@@ -66,6 +66,38 @@
     assert not WIRE.decode_notices("i-1", 7, reply(status, **headers))
 
 
+@pytest.mark.parametrize(
+    ("value", "pause"),
+    [
+        ("5", 5.0),
+        ("0", 0.0),
+        ("0.25", 0.25),
+        ("999999999", target_dialect.MAX_PAUSE_SECONDS),
+        ("-1", None),
+        ("1e3", None),
+        ("nan", None),
+        ("inf", None),
+        ("1_0", None),
+        ("", None),
+        ("soon", None),
+        ("Mon, 07 Dec 2026 05:00:00 GMT", None),
+    ],
+)
+def test_refusal_may_ask_for_a_pause(value: str, pause: float | None) -> None:
+    """Guards against a value that ends a process or shuts a target out."""
+    notices = WIRE.decode_notices("i-1", 7, reply(503, retry_after=value))
+    assert [each.pause for each in notices] == ([] if pause is None else [pause])
+    assert not WIRE.decode_notices("i-1", 7, reply(200, retry_after=value))
+
+
+def test_longest_of_several_pauses_counts() -> None:
+    """Guards against requests in the longer of two pauses that a refusal names."""
+    fields = tuple((b"retry-after", value) for value in (b"1", b"x", b"3"))
+    refusal = dialect.HttpReply(503, b"", (*fields, (b"server-leaving", b"1")))
+    notice = model.TargetNotice("i-1", 7, leaving=True, pause=3.0)
+    assert WIRE.decode_notices("i-1", 7, refusal) == (notice,)
+
+
 def test_signed_success_is_returned_unchanged() -> None:
     """Guards against changing the reply of a target."""
     decoded = WIRE.decode_run(attempt(), reply(200, x_response_stamp="s", etag="e"))
--- a/tests/process/serving/test_handlers.py
+++ b/tests/process/serving/test_handlers.py
@@ -62,7 +62,7 @@
 class FakeNotices:
     """Notice of one target, received at the time 1.0."""
 
-    def heard_since(self, at: float) -> tuple[model.TargetNotice, ...]:
+    def heard_since(self, now: float, at: float) -> tuple[model.TargetNotice, ...]:
         return (model.TargetNotice("t", 3, leaving=True),) if at <= 1.0 else ()
 
 
--- a/tests/process/serving/test_subqueries.py
+++ b/tests/process/serving/test_subqueries.py
@@ -96,6 +96,7 @@
         model.TargetNotice(name, started, leaving=True)
         for name, started in (("i-1", 0), ("a,b=c%", 1_764_000_000_000))
     )
+    notices += (model.TargetNotice("i-2", 4, pause=0.25),)
     reply = dialect.HttpReply(200, b"", peer_wire.encode_notices(notices))
     assert subquery_dialect.decode_notices("instance/b0", 0, reply) == notices
     assert not peer_wire.encode_notices(())
