Name the rest of a pause exactly, and report errors of polls

Read-through of the change. A target that had left made the shortest rest of a pause 0, so that a request waited for the machinery instead of its refusal at once; an exception in a poll counted as an answered check; a notice of another instance with thousands of digits would have raised an error.

--- a/jackdawpass/process/serving/peer_wire.py
+++ b/jackdawpass/process/serving/peer_wire.py
@@ -63,6 +63,8 @@
 
 # Notices in one reply at most, so that its head stays within the receiver's limit.
 MAX_NOTICES = 256
+# Digits of a number in a notice at most; a start is given in milliseconds since 1970.
+MAX_NOTICE_DIGITS = 15
 
 PING_PATH = b"/-/ping"
 PING = b"GET " + PING_PATH + b" HTTP/1.1\r\nHost: peer\r\n\r\n"
@@ -211,7 +213,10 @@
     """Yield each name in a header with its `count` numbers."""
     for entry in (reply.header(header) or b"").decode("latin-1").split(","):
         name, *numbers = entry.split("=")
-        is_valid = all(each.isascii() and each.isdigit() for each in numbers)
+        is_valid = all(
+            each.isascii() and each.isdigit() and len(each) <= MAX_NOTICE_DIGITS
+            for each in numbers
+        )
         if name and len(numbers) == count and is_valid:
             yield urllib.parse.unquote(name), [int(each) for each in numbers]
 
--- a/jackdawpass/process/serving/store_watcher.py
+++ b/jackdawpass/process/serving/store_watcher.py
@@ -134,7 +134,11 @@
         watching = [each for each in (self._tables, self._targets) if each.watching]
         if not watching:
             return (yield self._store.check(instance_registry.KIND, self._instance))
-        checks = yield defer.DeferredList([each.check() for each in watching])
+        checks = yield defer.DeferredList(
+            [each.check() for each in watching],
+            fireOnOneErrback=True,
+            consumeErrors=True,
+        )
         failures = [each for _, each in checks if isinstance(each, result.Failure)]
         return failures[0] if failures else result.Success(None)
 
--- a/jackdawpass/process/serving/targets.py
+++ b/jackdawpass/process/serving/targets.py
@@ -262,8 +262,12 @@
         states = self._groups.get(group, ())
         if not self._pauses.may_pause(now) or any(each.usable(now) for each in states):
             return None
-        ends = [s.paused_until for s in states if s.usable(s.paused_until)]
-        return max(0.0, min(ends) - now) if ends else None
+        ends = [
+            state.paused_until
+            for state in states
+            if now < state.paused_until and state.usable(state.paused_until)
+        ]
+        return min(ends) - now if ends else None
 
     def has_alternative(self, now: float, name: str) -> bool:
         """Return whether another target, which stays, can replace a target."""
--- a/tests/process/serving/test_pausing_targets.py
+++ b/tests/process/serving/test_pausing_targets.py
@@ -111,6 +111,15 @@
     assert _refusal(four, 4.0, min_coverage=0.9) is None
 
 
+def test_target_that_has_left_does_not_shorten_the_pause(
+    four: targets.Targets,
+) -> None:
+    """Guards against callers that are told to return before a target takes work."""
+    four.on_leaving(1.0, "g1", 1)
+    four.on_pause(1.0, "g2", 1, 5.0)
+    assert four.pause_left(2.0, "g") == pytest.approx(4.0)
+
+
 def test_partial_answer_is_given_while_some_shards_pause(four: targets.Targets) -> None:
     """Guards against a refusal while the other shards are enough."""
     for name in ("g1", "g2"):
--- a/tests/process/serving/test_subqueries.py
+++ b/tests/process/serving/test_subqueries.py
@@ -102,7 +102,10 @@
     assert not peer_wire.encode_notices(())
 
 
-@pytest.mark.parametrize("value", [b"", b"i-1", b"i-1=", b"=1", b"i-1=-1", b"i-1=\xb2"])
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"i-1", b"i-1=", b"=1", b"i-1=-1", b"i-1=\xb2", b"i-1=" + b"9" * 5000],
+)
 def test_malformed_notice_is_ignored(
     subquery_dialect: subqueries.SubqueryDialect, value: bytes
 ) -> None:
