Report no objects after a mirror was stopped

Cause: the timer that removes unconfirmed objects went on after the stop.

Change: it does nothing then.

Measured: test_stopped_mirror_reports_nothing failed before (one report more after the stop) and passes.

--- a/jackdawpass/process/serving/mirror.py
+++ b/jackdawpass/process/serving/mirror.py
@@ -219,6 +219,8 @@
 
     def _expire(self) -> None:
         self._expiry_timer = None
+        if not self._running:
+            return
         now = clock.monotonic()
         if self._cache.expire(now):
             self._on_items(self._cache.items)
--- a/tests/process/serving/test_mirror.py
+++ b/tests/process/serving/test_mirror.py
@@ -204,6 +204,19 @@
     assert harness.store.calls[-1] == "list"
 
 
+def test_stopped_mirror_reports_nothing(harness: Harness) -> None:
+    """Guards against old targets that are put in force after following was stopped."""
+    harness.answer_list(5, "a", "b")
+    harness.mirror.refresh()
+    harness.clock.advance(object_cache.INITIAL_BACKOFF_SECONDS)
+    harness.clock.advance(object_cache.MAX_BACKOFF_SECONDS)
+    harness.answer_list(6, "a")
+    harness.mirror.stop()
+    reported = len(harness.seen)
+    harness.clock.advance(2 * object_cache.RECOVERY_GRACE_SECONDS)
+    assert len(harness.seen) == reported
+
+
 def test_change_that_the_list_contains_is_not_applied_again() -> None:
     """Guards against a target that is used again after its entry said it leaves."""
     cache = object_cache.ObjectCache()
