Show when a request that a planned stop cut off was sent

The front closes connections that stay without a request for 0.2 s, and a caller on a busy machine may send later than that. The test asks the same as before, and its failure now names the seconds from the connection to the sending, so that the next one can be told apart.

--- a/tests/platform/test_front_process.py
+++ b/tests/platform/test_front_process.py
@@ -1,6 +1,7 @@
 """Tests of real front processes with stand-ins for store and targets, and faults."""
 
 import concurrent.futures
+import dataclasses
 import http.client
 import pathlib
 import signal
@@ -336,7 +337,15 @@
     assert front.process.wait(6.0) == 0
 
 
-def _send_late(port: int, delay: float) -> bytes | None:
+@dataclasses.dataclass(frozen=True)
+class _LateAnswer:
+    """Response to a request, and the seconds from its connection to its sending."""
+
+    response: bytes
+    sent_after: float
+
+
+def _send_late(port: int, delay: float) -> _LateAnswer | None:
     """Open a connection, send a request after a delay, and return the response.
 
     Returns None if no connection is accepted.
@@ -345,14 +354,16 @@
         connection = socket.create_connection(("127.0.0.1", port), 2.0)
     except OSError:
         return None
+    opened_at = time.monotonic()
     with connection:
         time.sleep(delay)
         head = f"GET /lookup/x HTTP/1.1\r\nHost: {site.HOST}\r\n"
         try:
             connection.sendall(f"{head}X-Request-Deadline: 2000\r\n\r\n".encode())
-            return connection.recv(65536)
+            sent_after = time.monotonic() - opened_at
+            return _LateAnswer(connection.recv(65536), sent_after)
         except OSError:
-            return b""
+            return _LateAnswer(b"", time.monotonic() - opened_at)
 
 
 def test_planned_stop_answers_requests_accepted_last(deployment: site.Site) -> None:
@@ -361,7 +372,7 @@
     The balancer sends new callers to stopping instances too, if it has no others.
     """
     front = deployment.add_front()
-    answers: list[bytes] = []
+    answers: list[_LateAnswer] = []
 
     def call_until_refused() -> None:
         while (answer := _send_late(front.port, 0.05)) is not None:
@@ -374,5 +385,5 @@
         for loop in loops:
             loop.result()
     assert len(answers) > 100
-    assert {answer[:12] for answer in answers} == {b"HTTP/1.1 200"}
+    assert not [each for each in answers if each.response[:12] != b"HTTP/1.1 200"]
     assert front.process.wait(6.0) == 0
