--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -121,6 +121,16 @@
     )
 
 
+@pytest.mark.parametrize(("allowed", "is_reported"), [(1, True), (2, False)])
+def test_late_requests_beyond_the_allowed_number_are_reported(
+    allowed: int, is_reported: bool
+) -> None:
+    """Guards against fronts that go on using a target whose replies say it leaves."""
+    periods = [checks.DrainPeriod("s0-a", 10.0, 20.0, allowed)]
+    runs = {"s0-a": [run_entry(name, 14.0) for name in "rs"]}
+    assert bool(checks.check([], runs, periods)) == is_reported
+
+
 def test_too_many_repeats_are_reported() -> None:
     """Guards against an undetected excess of retries."""
     many = [run_entry("r1", 1.0 + number * 0.01) for number in range(200)]
