--- a/review/world_3.py
+++ b/review/world_3.py
@@ -211,6 +211,11 @@
         self._objects.setdefault(kind, {})[name] = stored
         return await self._on_change(kind, stored, deleted=False)
 
+    def get(self, kind: str, name: str) -> object:
+        """Return the content of an object; None if there is none."""
+        stored = self._objects.get(kind, {}).get(name)
+        return None if stored is None else stored["spec"]
+
     async def delete(self, kind: str, name: str) -> float:
         """Remove an object; return the time of the acknowledgement."""
         self._revision += 1
