--- a/review/world_3.py
+++ b/review/world_3.py
@@ -6,10 +6,12 @@
 
 import asyncio
 import contextlib
+import copy
 import dataclasses
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -27,6 +29,7 @@
 CONFIG_APPLY = 3.0
 HEARTBEAT = 1.2
 STATE_TIMEOUT = 20.0
+_given_ports: set[int] = set()
 
 SETTINGS = """
 node = "{name}"
@@ -98,11 +101,14 @@
 
 
 def free_port() -> int:
-    """Return a free port of the loopback interface."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
+    """Return a free port below those that the kernel gives to connections."""
+    while True:
+        port = random.randrange(20_000, 32_000)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            if port not in _given_ports:
+                _given_ports.add(port)
+                return port
 
 
 class Record:
@@ -167,7 +173,8 @@
     def __init__(self) -> None:
         self.port = 0
         self.silent = False
-        self.swallowed = 0
+        # Calls of the machine that wait for a change.
+        self.watches = 0
 
 
 class Store:
@@ -185,7 +192,10 @@
         self._objects: dict[str, dict[str, dict]] = {}
         self._events: list[tuple[float, str, int, dict]] = []
         self._revision = 1
+        self._era = 1
         self._changed = asyncio.Condition()
+        self._doors: list[Door] = []
+        self._history: list[tuple[float, int, dict[str, dict[str, dict]]]] = []
 
     async def open_door(self) -> Door:
         """Listen on a further port."""
@@ -201,10 +211,32 @@
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         door.port = server.sockets[0].getsockname()[1]
+        self._doors.append(door)
         return door
 
+    async def drill(self, away: float, age: float) -> None:
+        """Be away for some seconds, and come back from a copy that is `age` old.
+
+        While it is away, calls that arrive or wait get no answer.
+        """
+        restored_from = time.monotonic() - age
+        copies = [each for each in self._history if each[0] <= restored_from]
+        for door in self._doors:
+            door.silent = True
+        await asyncio.sleep(away)
+        _, self._revision, objects = copies[-1]
+        self._objects = copy.deepcopy(objects)
+        self._events = [each for each in self._events if each[2] <= self._revision]
+        self._history = copies
+        self._era += 1
+        for door in self._doors:
+            door.silent = False
+        self._record(f"store: back, era {self._era}, revision {self._revision}")
+
     async def put(self, kind: str, name: str, spec: object) -> float:
         """Write an object as the operator or a server; return the time of the ack."""
+        if self.get(kind, name) == spec:
+            return time.monotonic()
         self._revision += 1
         meta = {"name": name, "revision": self._revision, "created": 1}
         stored = {"meta": meta | {"finalizers": [], "deleting": False}, "spec": spec}
@@ -226,6 +258,9 @@
         event = {"object": stored, "deleted": deleted}
         now = time.monotonic()
         self._events.append((now, kind, self._revision, event))
+        self._history.append((now, self._revision, copy.deepcopy(self._objects)))
+        name = stored["meta"]["name"]
+        self._record(f"store: revision {self._revision} is of {kind}/{name}")
         async with self._changed:
             self._changed.notify_all()
         return now
@@ -239,18 +274,22 @@
             query = dict(urllib.parse.parse_qsl(parsed.query))
             _, _, rest = parsed.path.partition("/objects/")
             kind, _, name = rest.partition("/")
-            was_silent = door.silent
-            status, document = await self._answer(
-                method, kind, urllib.parse.unquote(name), query, request.body
-            )
-            if was_silent or door.silent:
+            was_silent, era = door.silent, self._era
+            is_watch = int(query.get("wait_ms", "0")) > 0
+            door.watches += is_watch
+            try:
+                status, document = await self._answer(
+                    method, kind, urllib.parse.unquote(name), query, request.body
+                )
+            finally:
+                door.watches -= is_watch
+            if was_silent or door.silent or era != self._era:
                 # A connection on which a response is lost returns nothing further.
-                door.swallowed += 1
                 self._record(f"store: no answer to {method} {target}")
                 await reader.read()
                 return
-            body = json.dumps(document).encode()
-            writer.write(encode(status, {"Content-Type": "application/json"}, body))
+            headers = {"Content-Type": "application/json", "Store-Era": str(self._era)}
+            writer.write(encode(status, headers, json.dumps(document).encode()))
 
     async def _answer(
         self, method: str, kind: str, name: str, query: dict[str, str], body: bytes
@@ -276,6 +315,8 @@
 
     async def _watch(self, kind: str, query: dict[str, str]) -> tuple[int, object]:
         since = int(query["watch"])
+        if since > self._revision:
+            return 410, {}
         is_stale = query.get("allow_stale") == "1"
         deadline = time.monotonic() + int(query.get("wait_ms", "0")) / 1000
         while True:
@@ -476,6 +517,14 @@
     }
 
 
+async def beat(store: Store, server: Server) -> None:
+    """Write a server's entry at each heartbeat; it is a change if it differs."""
+    await asyncio.sleep(random.uniform(0, HEARTBEAT))
+    while True:
+        await store.put("servers", server.name, server.entry())
+        await asyncio.sleep(HEARTBEAT)
+
+
 class World:
     """Store, servers and fronts of a case."""
 
@@ -494,12 +543,17 @@
 
     async def add_fronts(self, count: int, zone: str = "um") -> None:
         """Start fronts and wait until they are ready."""
+        added = []
         for number in range(count):
             door = await self.store.open_door()
             name = f"front-{zone}-{number + 1}"
-            self.fronts.append(Front(self._folder, name, zone, door))
-        await asyncio.gather(*(each.start() for each in self.fronts))
-        await asyncio.gather(*(each.wait_ready() for each in self.fronts))
+            added.append(Front(self._folder, name, zone, door))
+        self.fronts += added
+        for each in added:
+            # Machines that have run for long do nothing in step.
+            await asyncio.sleep(random.uniform(0, 0.3))
+            await each.start()
+        await asyncio.gather(*(each.wait_ready() for each in added))
 
     async def close(self) -> None:
         """End all processes."""
