--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,6 +1,7 @@
 """A store that is silent to some machines for a moment, while a route moves."""
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -8,12 +9,14 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import world_3  # noqa: E402
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 FRONTS = 12
 # Machines that the store does not answer, and the length of its silence, in seconds.
 SILENT = 4
 SILENCE = 0.3
-# How far reads with allow_stale are behind, in seconds.
+# How far reads with allow_stale are behind, and for how long, in seconds.
 STALE = 5.0
+STALE_FOR = 12.0
 REQUEST_GAP = 0.1
 
 
@@ -32,6 +35,7 @@
     await asyncio.sleep(8.0)
 
     sent: dict[str, tuple[str, float]] = {}
+    answered: set[str] = set()
     stop = asyncio.Event()
 
     async def client(front: world_3.Front) -> None:
@@ -45,11 +49,19 @@
             stamp = "" if answer is None else answer.headers.get("x-response-stamp", "")
             status = "nothing" if answer is None else answer.first
             record(f"client: {attempt} gets {status} {stamp}")
+            if stamp:
+                answered.add(attempt)
             await asyncio.sleep(REQUEST_GAP)
 
     clients = [asyncio.create_task(client(front)) for front in world.fronts]
     await asyncio.sleep(1.0)
-    if world_3.trouble():
+    world.store.stale_seconds = STALE
+    asyncio.get_running_loop().call_later(
+        STALE_FOR, setattr, world.store, "stale_seconds", 0.0
+    )
+    record(f"stale reads are {STALE} s behind for {STALE_FOR} s")
+    await asyncio.sleep(1.0)
+    if TROUBLE:
         record.say(f"the store is silent to {SILENT} of {FRONTS} machines")
         for front in world.fronts[:SILENT]:
             front.door.silent = True
@@ -64,6 +76,7 @@
     await asyncio.sleep(8.0)
     stop.set()
     await asyncio.gather(*clients)
+    world_3.check_served(len(sent), len(answered))
 
     due = max(acknowledged + world_3.CONFIG_APPLY, healed + world_3.STABLE_WINDOW)
     late = [
@@ -84,4 +97,4 @@
     return not late
 
 
-world_3.main(pathlib.Path(__file__).parent, play, stale_seconds=STALE)
+world_3.main(pathlib.Path(__file__).parent, play)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,6 +1,7 @@
 """A drill of the store: it is away for a moment and comes back from an older copy."""
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -8,6 +9,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import world_3  # noqa: E402
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = {"um": 9, "dois": 7, "tres": 4}
 DRILLS = 3
 # How long the store is away, and how old its copy is, in seconds.
@@ -21,6 +23,8 @@
 STRETCHED = 15.0
 REQUEST_GAP = 0.1
 SERVICES = ("arquivo", "fecho", "mesa")
+# A service that no route of the case leads to; a server of it starts before a drill.
+OTHER_SERVICE = "portal"
 
 
 async def play(world: world_3.World) -> bool:
@@ -44,7 +48,7 @@
             version += 2
             service = SERVICES[version // 2 % len(SERVICES)]
         routes = [world_3.route("ficha", service=service)]
-        content = world_3.configuration(version, routes, list(SERVICES))
+        content = world_3.configuration(version, routes, [*SERVICES, OTHER_SERVICE])
         at = await store.put("config", "main", content)
         if not again:
             acknowledged.append((at, service))
@@ -56,6 +60,7 @@
     await asyncio.sleep(world_3.STABLE_WINDOW + 2)
 
     sent: dict[str, tuple[str, float]] = {}
+    answered: set[str] = set()
     stop = asyncio.Event()
 
     async def client(front: world_3.Front) -> None:
@@ -69,6 +74,8 @@
             stamp = "" if answer is None else answer.headers.get("x-response-stamp", "")
             status = "nothing" if answer is None else answer.first
             record(f"client: {attempt} gets {status} {stamp}")
+            if stamp:
+                answered.add(attempt)
             await asyncio.sleep(REQUEST_GAP)
 
     clients = [asyncio.create_task(client(front)) for front in world.fronts]
@@ -78,11 +85,11 @@
         await asyncio.sleep(COPY_AGE)
         await write()
         # A server of another service starts.
-        late_server = world_3.Server(record, f"i-late{drill}", "late", "um")
+        late_server = world_3.Server(record, f"i-late{drill}", OTHER_SERVICE, "um")
         await world.add_server(late_server)
         beats.append(asyncio.create_task(world_3.beat(store, late_server)))
         await asyncio.sleep(COPY_AGE / 2)
-        if world_3.trouble():
+        if TROUBLE:
             record.say("the store is away")
             away_at = time.monotonic()
             await store.drill(AWAY, COPY_AGE - 0.5)
@@ -95,6 +102,7 @@
     await asyncio.gather(*clients)
     for task in beats:
         task.cancel()
+    world_3.check_served(len(sent), len(answered))
 
     late = []
     for server in world.servers.values():
